Add design, Maven workspace, kernel interfaces and peer transport

Cause: the repository was empty. Change: design page, eleven modules, kernel types and decision interfaces, protobuf messages, Netty transport, numbered events with their catalogue, Spotless and Checkstyle in the build. Conclusion: the interfaces are in place for the roles to be built on.

--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/record/package-info.java
@@ -0,0 +1,2 @@
+/** The records of the audit account. */
+package org.masticcroft.account.record;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/writer/package-info.java
@@ -0,0 +1,2 @@
+/** Buffering, chaining, signing and appending of audit records. */
+package org.masticcroft.account.writer;
--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The masticcroft operator command line. */
+package org.masticcroft.cli;
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role. */
+package org.masticcroft.entry;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/package-info.java
@@ -0,0 +1,2 @@
+/** Experiment command and benchmarks of the decision policies. */
+package org.masticcroft.experiments;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/Ticket.java
@@ -0,0 +1,22 @@
+package org.masticcroft.kernel.admission;
+
+import java.util.Objects;
+
+/**
+ * A request that asks for admission.
+ *
+ * @param requestId id of the request
+ * @param customer name of the customer
+ * @param weight weight of the customer in fair queueing
+ * @param rank name of the rank
+ * @param estimatedTokens expected cost in tokens
+ * @param arrivalNanos monotonic arrival time in nanoseconds
+ */
+public record Ticket(
+        String requestId, String customer, double weight, String rank, int estimatedTokens, long arrivalNanos) {
+    public Ticket {
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(customer, "customer");
+        Objects.requireNonNull(rank, "rank");
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission and order of requests by rank, and fairness between customers. */
+package org.masticcroft.kernel.admission;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/breaker/package-info.java
@@ -0,0 +1,2 @@
+/** Circuit breaking per upstream. */
+package org.masticcroft.kernel.breaker;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/KeyConfig.java
@@ -0,0 +1,15 @@
+package org.masticcroft.kernel.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * A caller key. Only its hash is configured.
+ *
+ * @param sha256 SHA-256 of the key in lower-case hex
+ * @param customer name of the customer
+ * @param rank name of the rank
+ */
+public record KeyConfig(
+        @JsonProperty("sha256") String sha256,
+        @JsonProperty("customer") String customer,
+        @JsonProperty("rank") String rank) {}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ModelConfig.java
@@ -0,0 +1,22 @@
+package org.masticcroft.kernel.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * A model with its versions. An adapter is a model of its own whose versions name a base.
+ *
+ * @param versions the versions, by name
+ */
+public record ModelConfig(@JsonProperty("versions") SortedMap<String, VersionConfig> versions) {
+    public ModelConfig {
+        versions = versions == null ? new TreeMap<>() : new TreeMap<>(versions);
+    }
+
+    /** Creates a model from its versions. */
+    public static ModelConfig of(Map<String, VersionConfig> versions) {
+        return new ModelConfig(new TreeMap<>(versions));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/VersionConfig.java
@@ -0,0 +1,14 @@
+package org.masticcroft.kernel.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import org.masticcroft.kernel.id.WeightsDigest;
+
+/**
+ * A version of a model.
+ *
+ * @param digest digest that identifies the exact weights
+ * @param size size of the weights in bytes
+ */
+public record VersionConfig(
+        @JsonProperty("digest") WeightsDigest digest,
+        @JsonProperty("size") long size) {}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes and the exception that carries them. */
+package org.masticcroft.kernel.error;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -0,0 +1,54 @@
+package org.masticcroft.kernel.event;
+
+/** Numbered log events. {@code docs/EVENTS.md} is the catalogue; numbers are never reused. */
+public enum Event {
+    PROCESS_STARTED(1000, "The process has started and lists its role and addresses."),
+    PROCESS_DRAINING(1001, "The process received SIGTERM and finishes the work in progress."),
+    PROCESS_STOPPED(1002, "The process has finished its work and exits."),
+    CONFIG_APPLIED(1100, "A configuration version took effect in this process."),
+    CONFIG_UNCONFIRMED(1101, "The log could not be read for longer than the confirmation bound."),
+    CONFIG_CONFIRMED(1102, "The configuration was confirmed against the log again."),
+    CONFIG_RECORD_IGNORED(1103, "A record of the configuration stream has no effect; the reason is given."),
+    CONFIG_SNAPSHOT_APPENDED(1104, "A snapshot of the configuration was re-published before retention."),
+    ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
+    REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
+    REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
+    ATTEMPT_FAILED(1203, "An attempt on an upstream failed; verdict and code are given."),
+    ADMISSION_DECISION(1204, "A request was queued or refused by the admission queue."),
+    CLAIM_DECIDED(1205, "The claim of an idempotency key was decided."),
+    BREAKER_CHANGED(1206, "The circuit breaker of an upstream changed its state."),
+    REQUEST_QUARANTINED(1207, "A request was quarantined because upstreams crashed while they ran it."),
+    PREEMPTION_DECISION(1208, "A running request was preempted by one of a more urgent rank."),
+    LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
+    LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
+    PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
+    ENGINE_ORDER(1303, "An order was given to an engine; its result is given."),
+    ENGINE_READY(1304, "The engine reports exactly the configured weights digest as loaded."),
+    ENGINE_NOT_READY(1305, "The engine does not serve the configured weights digest any more."),
+    FETCH_DECISION(1400, "A source was chosen for a chunk."),
+    CHUNK_REJECTED(1401, "A chunk failed verification and was dropped."),
+    ROLLOUT_FINISHED(1402, "All chunks of a weights digest are verified and staged."),
+    ACCOUNT_FLUSHED(1500, "A batch of audit records was appended to the log."),
+    ACCOUNT_FLUSH_FAILED(1501, "A batch of audit records could not be appended and stays buffered."),
+    ACCOUNT_GAP(1502, "Audit records were dropped at the buffer bound; the gap is recorded."),
+    PEER_UNREACHABLE(1600, "A peer process could not be reached."),
+    LOG_UNAVAILABLE(1601, "The log service did not answer or refused."),
+    INSTANCE_LIST_UNAVAILABLE(1602, "The instance list could not be read; the last one stays in use."),
+    INTERNAL_ERROR(1900, "An unexpected error was handled; its stack trace is attached.");
+
+    private final int number;
+    private final String description;
+
+    Event(int number, String description) {
+        this.number = number;
+        this.description = description;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered, structured log events. */
+package org.masticcroft.kernel.event;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/id/WeightsDigest.java
@@ -0,0 +1,38 @@
+package org.masticcroft.kernel.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Objects;
+import java.util.regex.Pattern;
+
+/**
+ * Digest that identifies one exact set of weights, in the form {@code sha256:} and 64 hex digits.
+ *
+ * @param value the digest with its prefix
+ */
+public record WeightsDigest(@JsonValue String value) {
+    private static final Pattern FORMAT = Pattern.compile("sha256:[0-9a-f]{64}");
+
+    public WeightsDigest {
+        Objects.requireNonNull(value, "value");
+        if (!FORMAT.matcher(value).matches()) {
+            throw new IllegalArgumentException("not a weights digest of the form sha256:<64 hex digits>: " + value);
+        }
+    }
+
+    /** Creates a digest from its text form. */
+    @JsonCreator
+    public static WeightsDigest of(String value) {
+        return new WeightsDigest(value);
+    }
+
+    /** Returns whether {@code value} has the form of a weights digest. */
+    public static boolean isValid(String value) {
+        return value != null && FORMAT.matcher(value).matches();
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/id/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers that several subsystems share. */
+package org.masticcroft.kernel.id;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** Domain types, configuration model and decision policies. */
+package org.masticcroft.kernel;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of versions on engines. */
+package org.masticcroft.kernel.placement;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/plugin/package-info.java
@@ -0,0 +1,2 @@
+/** Registration and look-up of decision plug-ins. */
+package org.masticcroft.kernel.plugin;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retries and their budget. */
+package org.masticcroft.kernel.retry;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/Fetch.java
@@ -0,0 +1,34 @@
+package org.masticcroft.kernel.rollout;
+
+import java.util.Objects;
+
+/**
+ * A decision to fetch one chunk from one source.
+ *
+ * @param chunk index of the chunk
+ * @param source where from
+ * @param reason short stable reason for the log
+ */
+public record Fetch(int chunk, Source source, String reason) {
+    public Fetch {
+        Objects.requireNonNull(source, "source");
+        Objects.requireNonNull(reason, "reason");
+    }
+
+    /** A source of chunks. */
+    public sealed interface Source {
+        /** The weight store, or the origin if the store does not answer. */
+        record Store() implements Source {}
+
+        /**
+         * Another sidecar.
+         *
+         * @param instance its instance id
+         */
+        record PeerSource(String instance) implements Source {
+            public PeerSource {
+                Objects.requireNonNull(instance, "instance");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Who fetches which chunk of the weights from whom. */
+package org.masticcroft.kernel.rollout;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of an upstream for a request. */
+package org.masticcroft.kernel.routing;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/time/SystemTimeSource.java
@@ -0,0 +1,17 @@
+package org.masticcroft.kernel.time;
+
+import java.time.Instant;
+
+enum SystemTimeSource implements TimeSource {
+    INSTANCE;
+
+    @Override
+    public Instant now() {
+        return Instant.now();
+    }
+
+    @Override
+    public long nanoTime() {
+        return System.nanoTime();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/time/package-info.java
@@ -0,0 +1,2 @@
+/** The injected clock. */
+package org.masticcroft.kernel.time;
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/verdict/package-info.java
@@ -0,0 +1,2 @@
+/** The verdict on whether a request was executed. */
+package org.masticcroft.kernel.verdict;
--- /dev/null
+++ b/service/src/main/java/org/masticcroft/service/package-info.java
@@ -0,0 +1,2 @@
+/** The masticcroftd binary. */
+package org.masticcroft.service;
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** The per-upstream role. */
+package org.masticcroft.sidecar;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and the upstreams, for tests and the demo. */
+package org.masticcroft.standins;
--- /dev/null
+++ b/wire/src/main/java/org/masticcroft/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages and transport between the processes of masticcroft. */
+package org.masticcroft.wire;
