--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start and graceful stop of a process. */
+package org.masticcroft.kernel.lifecycle;
