--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/batch/package-info.java
@@ -0,0 +1,2 @@
+/** Signed, chained batches of audit records and their encoding. */
+package org.masticcroft.account.batch;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/key/package-info.java
@@ -0,0 +1,2 @@
+/** Keys that sign and verify the batches of the account. */
+package org.masticcroft.account.key;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/read/package-info.java
@@ -0,0 +1,2 @@
+/** Reading the account from the log. */
+package org.masticcroft.account.read;
