--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/export/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Export of the account to a file. The file is a sequence of zstd frames; their content is UTF-8 text with one JSON
+ * document a line, see {@link org.masticcroft.account.export.ExportLine}.
+ */
+package org.masticcroft.account.export;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/report/TextReport.java
@@ -0,0 +1,51 @@
+package org.masticcroft.account.report;
+
+import java.util.Locale;
+import java.util.StringJoiner;
+import org.masticcroft.account.verify.Verification;
+
+enum TextReport implements ReportFormat {
+    INSTANCE;
+
+    private static final String ROW = "%-20s %-12s %-20s %-10s %9s %9s %9s %9s %9s";
+
+    @Override
+    public String render(AccountReport report) {
+        StringJoiner out = new StringJoiner("\n", "", "\n");
+        Verification verification = report.verification();
+        out.add((verification.isAuthentic() ? "verified" : "NOT AUTHENTIC") + ": " + verification.records()
+                + " records in " + verification.batches() + " batches");
+        verification.findings().forEach(finding -> out.add("finding  " + finding.kind() + ": " + finding.detail()));
+        out.add(String.format(
+                Locale.ROOT,
+                ROW,
+                "model",
+                "version",
+                "customer",
+                "rank",
+                "served",
+                "failed",
+                "refused",
+                "uncertain",
+                "mean ms"));
+        report.groups().forEach((key, figures) -> out.add(row(key, figures)));
+        verification.gaps().forEach(gap -> out.add("gap      " + GapText.of(gap)));
+        report.withoutEntryRecord().forEach(id -> out.add("evidence only from sidecars: " + id));
+        return out.toString();
+    }
+
+    private static String row(AccountReport.GroupKey key, AccountReport.Figures figures) {
+        return String.format(
+                Locale.ROOT,
+                ROW,
+                key.model(),
+                key.version(),
+                key.customer(),
+                key.rank(),
+                figures.served(),
+                figures.failed(),
+                figures.refused(),
+                figures.uncertain(),
+                figures.meanMillis());
+    }
+}
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/report/package-info.java
@@ -0,0 +1,2 @@
+/** Summaries of an exported account. */
+package org.masticcroft.account.report;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/search/RequestSearch.java
@@ -0,0 +1,67 @@
+package org.masticcroft.account.search;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.account.batch.Batch;
+import org.masticcroft.account.batch.BatchCodec;
+import org.masticcroft.account.export.ExportReader;
+import org.masticcroft.account.read.AccountReader;
+import org.masticcroft.account.record.AuditRecord;
+import org.masticcroft.account.record.DispatchRecord;
+import org.masticcroft.account.record.RequestRecord;
+import org.masticcroft.platform.log.LogService;
+
+/** Finds all records of one request, in the log or in an exported file. */
+public final class RequestSearch {
+    private final String requestId;
+    private final List<DispatchRecord> dispatches = new ArrayList<>();
+    private Optional<RequestRecord> request = Optional.empty();
+
+    private RequestSearch(String requestId) {
+        this.requestId = Objects.requireNonNull(requestId, "requestId");
+    }
+
+    /** Searches what the log still keeps. */
+    public static RequestTrail inLog(LogService log, String requestId) {
+        RequestSearch search = new RequestSearch(requestId);
+        AccountReader.of(log).read(0, located -> search.accept(located.batch()));
+        return search.result();
+    }
+
+    /**
+     * Searches an exported file.
+     *
+     * @throws IOException if the file cannot be read
+     */
+    public static RequestTrail inFile(Path file, String requestId) throws IOException {
+        RequestSearch search = new RequestSearch(requestId);
+        ExportReader.of(file).read((line, batch) -> search.accept(batch));
+        return search.result();
+    }
+
+    private void accept(Batch batch) {
+        // Parsing every line would be slow; most lines do not name the request.
+        batch.lines().stream()
+                .filter(line -> line.contains(requestId))
+                .map(BatchCodec::parseRecord)
+                .forEach(this::accept);
+    }
+
+    private void accept(AuditRecord record) {
+        if (record instanceof RequestRecord found && found.requestId().equals(requestId)) {
+            request = Optional.of(found);
+        } else if (record instanceof DispatchRecord found && found.requestId().equals(requestId)) {
+            dispatches.add(found);
+        }
+    }
+
+    private RequestTrail result() {
+        dispatches.sort(Comparator.comparingInt(DispatchRecord::attempt));
+        return new RequestTrail(request, dispatches);
+    }
+}
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/search/package-info.java
@@ -0,0 +1,2 @@
+/** Search for the records of one request. */
+package org.masticcroft.account.search;
--- /dev/null
+++ b/account/src/main/java/org/masticcroft/account/verify/package-info.java
@@ -0,0 +1,2 @@
+/** Verification of exported accounts. */
+package org.masticcroft.account.verify;
--- /dev/null
+++ b/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
@@ -0,0 +1,80 @@
+package org.masticcroft.service.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheck;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import java.io.ByteArrayInputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Objects;
+import org.eclipse.jetty.server.Server;
+import org.masticcroft.kernel.lifecycle.Role;
+
+/** Dropwizard application that serves the resources of a role, its metrics and its health checks. */
+public final class ServiceApplication extends Application<Configuration> {
+    private final HttpSettings settings;
+    private final MetricRegistry metrics;
+    private final Role role;
+    private final Collection<?> resources;
+    private Server server;
+
+    private ServiceApplication(HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources) {
+        this.settings = settings;
+        this.metrics = metrics;
+        this.role = role;
+        this.resources = resources;
+    }
+
+    /** Creates an application that {@link #start} runs. */
+    public static ServiceApplication of(
+            HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources) {
+        return new ServiceApplication(
+                Objects.requireNonNull(settings, "settings"),
+                Objects.requireNonNull(metrics, "metrics"),
+                Objects.requireNonNull(role, "role"),
+                resources);
+    }
+
+    /** Starts the HTTP server and returns. */
+    public void start() throws Exception {
+        run("server", "settings");
+    }
+
+    /** Stops the HTTP server; responses in progress are cut off, so the role has to be drained before. */
+    public void stop() throws Exception {
+        server.stop();
+    }
+
+    @Override
+    public String getName() {
+        return "masticcroftd";
+    }
+
+    @Override
+    public void initialize(Bootstrap<Configuration> bootstrap) {
+        byte[] document = settings.toYaml().getBytes(StandardCharsets.UTF_8);
+        bootstrap.setConfigurationSourceProvider(path -> new ByteArrayInputStream(document));
+        bootstrap.setMetricRegistry(metrics);
+    }
+
+    @Override
+    public void run(Configuration configuration, Environment environment) {
+        resources.forEach(environment.jersey()::register);
+        environment.healthChecks().register("ready", new Readiness());
+        environment.lifecycle().addServerLifecycleListener(started -> {
+            // The process stops the server itself after the role has finished its work in progress.
+            started.setStopAtShutdown(false);
+            server = started;
+        });
+    }
+
+    private final class Readiness extends HealthCheck {
+        @Override
+        protected Result check() {
+            return role.ready() ? Result.healthy() : Result.unhealthy("not ready for work");
+        }
+    }
+}
--- /dev/null
+++ b/service/src/main/java/org/masticcroft/service/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server of the service binary. */
+package org.masticcroft.service.http;
