--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigFolder.java
@@ -0,0 +1,106 @@
+package org.masticcroft.kernel.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MappingIterator;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+/** Loads a folder of YAML files that are merged in the order of their names. */
+public final class ConfigFolder {
+    private static final String SUFFIX = ".yaml";
+    private static final ObjectMapper YAML = YAMLMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    private final Path folder;
+    private final PolicyNames policyNames;
+    private final MergedTree merged = new MergedTree();
+    private final ProblemList problems = new ProblemList();
+
+    private ConfigFolder(Path folder, PolicyNames policyNames) {
+        this.folder = folder;
+        this.policyNames = policyNames;
+    }
+
+    /** Loads a folder; policy names are checked against the plug-ins on the class path. */
+    public static ConfigResult load(Path folder) {
+        return load(folder, PolicyNames.registered());
+    }
+
+    /** Loads a folder and checks policy names against {@code policyNames}. */
+    public static ConfigResult load(Path folder, PolicyNames policyNames) {
+        Objects.requireNonNull(policyNames, "policyNames");
+        return new ConfigFolder(Objects.requireNonNull(folder, "folder"), policyNames).load();
+    }
+
+    private ConfigResult load() {
+        files().forEach(this::read);
+        Provenance provenance = merged.provenance();
+        problems.provenance(provenance);
+        ObjectNode tree = merged.root().deepCopy();
+        new SchemaCheck(problems).check(tree);
+        FleetConfig config = ConfigJson.mapper().convertValue(tree, FleetConfig.class);
+        new ConfigValidator(config, tree, policyNames, problems).validate();
+        return problems.isEmpty()
+                ? new ConfigResult.Valid(config, provenance)
+                : new ConfigResult.Invalid(problems.sorted());
+    }
+
+    private List<Path> files() {
+        if (!Files.isDirectory(folder)) {
+            problems.addFile(ProblemCode.FOLDER_UNREADABLE, "", folder + " is not a folder");
+            return List.of();
+        }
+        try (Stream<Path> entries = Files.list(folder)) {
+            List<Path> files = entries.filter(
+                            file -> file.getFileName().toString().endsWith(SUFFIX))
+                    .sorted((a, b) ->
+                            a.getFileName().toString().compareTo(b.getFileName().toString()))
+                    .toList();
+            if (files.isEmpty()) {
+                problems.addFile(ProblemCode.FOLDER_EMPTY, "", folder + " has no file *" + SUFFIX);
+            }
+            return files;
+        } catch (IOException e) {
+            problems.addFile(ProblemCode.FOLDER_UNREADABLE, "", folder + " cannot be listed: " + e.getMessage());
+            return List.of();
+        }
+    }
+
+    private void read(Path file) {
+        String name = file.getFileName().toString();
+        try (MappingIterator<JsonNode> documents =
+                YAML.readerFor(JsonNode.class).readValues(file.toFile())) {
+            if (!documents.hasNextValue()) {
+                return;
+            }
+            JsonNode content = documents.nextValue();
+            if (documents.hasNextValue()) {
+                problems.addFile(ProblemCode.FILE_MALFORMED, name, "has more than one YAML document");
+            } else if (content instanceof ObjectNode map) {
+                merged.add(name, map);
+            } else if (!content.isNull() && !content.isMissingNode()) {
+                problems.addFile(ProblemCode.FILE_MALFORMED, name, "must be a map at the top level");
+            }
+        } catch (JsonProcessingException e) {
+            String where =
+                    e.getLocation() == null ? "" : " in line " + e.getLocation().getLineNr();
+            problems.addFile(ProblemCode.FILE_MALFORMED, name, "is not YAML" + where + ": " + firstLine(e));
+        } catch (IOException e) {
+            problems.addFile(ProblemCode.FILE_UNREADABLE, name, "cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static String firstLine(JsonProcessingException e) {
+        return e.getOriginalMessage().lines().findFirst().orElse("syntax error");
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigKey.java
@@ -0,0 +1,21 @@
+package org.masticcroft.kernel.config;
+
+/** Dotted keys of configuration values, such as {@code models.harbour.versions."1.2".size}. */
+public final class ConfigKey {
+    private ConfigKey() {}
+
+    /** Returns the key of {@code name} below {@code parent}. A name that contains a dot is quoted. */
+    public static String child(String parent, String name) {
+        String part = name.indexOf('.') >= 0 ? '"' + name + '"' : name;
+        return parent.isEmpty() ? part : parent + '.' + part;
+    }
+
+    /** Returns the key below the root that the names lead to. */
+    public static String of(String... names) {
+        String key = "";
+        for (String name : names) {
+            key = child(key, name);
+        }
+        return key;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigProblem.java
@@ -0,0 +1,32 @@
+package org.masticcroft.kernel.config;
+
+import java.util.Objects;
+
+/**
+ * One reason why a configuration folder is not valid.
+ *
+ * @param code stable code
+ * @param file name of the file that the value came from; empty if the problem concerns the whole folder
+ * @param key key in dotted form; empty if the problem concerns the whole file
+ * @param reason what is wrong
+ */
+public record ConfigProblem(ProblemCode code, String file, String key, String reason) {
+    public ConfigProblem {
+        Objects.requireNonNull(code, "code");
+        Objects.requireNonNull(file, "file");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(reason, "reason");
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        if (!file.isEmpty()) {
+            text.append(file).append(": ");
+        }
+        if (!key.isEmpty()) {
+            text.append(key).append(": ");
+        }
+        return text.append(reason).append(" [").append(code).append(']').toString();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigValidator.java
@@ -0,0 +1,221 @@
+package org.masticcroft.kernel.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.regex.Pattern;
+
+/** Checks the values of a merged configuration and the references between them. */
+final class ConfigValidator {
+    /** A body travels to the sidecar in one frame of the peer protocol, which is limited to 20 MiB. */
+    private static final long LARGEST_BODY_BYTES = 16L << 20;
+
+    /** Shares such as 0.7 + 0.2 + 0.1 are not exact in binary. */
+    private static final double SHARE_TOLERANCE = 1e-9;
+
+    private static final Pattern SHA256_HEX = Pattern.compile("[0-9a-f]{64}");
+    private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+
+    private final FleetConfig config;
+    private final JsonNode tree;
+    private final PolicyNames policyNames;
+    private final ProblemList problems;
+
+    /**
+     * Creates a validator.
+     *
+     * @param config the configuration; values that did not fit their type are null or 0
+     * @param tree the values that fit their type, to tell an absent value from 0
+     */
+    ConfigValidator(FleetConfig config, JsonNode tree, PolicyNames policyNames, ProblemList problems) {
+        this.config = config;
+        this.tree = tree;
+        this.policyNames = policyNames;
+        this.problems = problems;
+    }
+
+    void validate() {
+        config.ranks().forEach(this::validateRank);
+        validateRankSet();
+        config.customers().keySet().forEach(name -> {
+            positive("customers", name, "weight");
+            number(0, Double.MAX_VALUE, "customers", name, "requests_per_second");
+        });
+        config.keys().forEach(this::validateKey);
+        validateHashes();
+        config.models()
+                .forEach((name, model) -> model.versions()
+                        .keySet()
+                        .forEach(version -> positive("models", name, "versions", version, "size")));
+        config.deployments().forEach(this::validateDeployment);
+        config.services().forEach(this::validateService);
+        validateLimits();
+        validatePolicies();
+        if (tree.has("drained")) {
+            problems.add(ProblemCode.KEY_RESERVED, "drained", "set by masticcroft drain and undrain, not by a folder");
+        }
+    }
+
+    private void validateRank(String name, RankConfig rank) {
+        number(0, Integer.MAX_VALUE, "ranks", name, "order");
+        number(0, 1, "ranks", name, "share");
+        positive("ranks", name, "queue_limit");
+        positiveDuration(rank.firstToken(), "ranks", name, "first_token");
+    }
+
+    private void validateRankSet() {
+        Map<Integer, String> byOrder = new HashMap<>();
+        double sum = 0;
+        for (Map.Entry<String, RankConfig> rank : config.ranks().entrySet()) {
+            sum += Math.max(0, rank.getValue().share());
+            if (present("ranks", rank.getKey(), "order").isPresent()) {
+                String other = byOrder.putIfAbsent(rank.getValue().order(), rank.getKey());
+                if (other != null) {
+                    problems.add(
+                            ProblemCode.ORDER_DUPLICATE,
+                            ConfigKey.of("ranks", rank.getKey(), "order"),
+                            "rank " + other + " has the order "
+                                    + rank.getValue().order() + " too");
+                }
+            }
+        }
+        if (sum > 1 + SHARE_TOLERANCE) {
+            problems.add(ProblemCode.SHARES_EXCEED_ONE, "ranks", "the shares of all ranks add up to " + sum);
+        }
+    }
+
+    private void validateKey(String name, KeyConfig key) {
+        reference(key.customer(), config.customers().keySet(), ProblemCode.CUSTOMER_UNKNOWN, "keys", name, "customer");
+        reference(key.rank(), config.ranks().keySet(), ProblemCode.RANK_UNKNOWN, "keys", name, "rank");
+        if (key.sha256() != null && !SHA256_HEX.matcher(key.sha256()).matches()) {
+            problems.add(
+                    ProblemCode.HASH_INVALID,
+                    ConfigKey.of("keys", name, "sha256"),
+                    "must be 64 lower-case hex digits, as printed by masticcroft hash-key");
+        }
+    }
+
+    private void validateHashes() {
+        Map<String, String> byHash = new HashMap<>();
+        config.keys().forEach((name, key) -> {
+            String other = key.sha256() == null ? null : byHash.putIfAbsent(key.sha256(), name);
+            if (other != null) {
+                problems.add(
+                        ProblemCode.HASH_DUPLICATE,
+                        ConfigKey.of("keys", name, "sha256"),
+                        "key " + other + " has the same hash");
+            }
+        });
+    }
+
+    private void validateDeployment(String name, DeploymentConfig deployment) {
+        String model = deployment.model();
+        reference(model, config.models().keySet(), ProblemCode.MODEL_UNKNOWN, "deployments", name, "model");
+        if (model != null && config.models().containsKey(model)) {
+            Set<String> versions = config.models().get(model).versions().keySet();
+            reference(deployment.version(), versions, ProblemCode.VERSION_UNKNOWN, "deployments", name, "version");
+        }
+        notBlank(deployment.group(), "deployments", name, "group");
+        deployment.adapter().ifPresent(adapter -> validateAdapter(name, adapter));
+    }
+
+    private void validateAdapter(String name, String adapter) {
+        int slash = adapter.indexOf('/');
+        ModelConfig model = slash < 0 ? null : config.models().get(adapter.substring(0, slash));
+        if (model == null || !model.versions().containsKey(adapter.substring(slash + 1))) {
+            problems.add(
+                    ProblemCode.ADAPTER_INVALID,
+                    ConfigKey.of("deployments", name, "adapter"),
+                    "must name a model and a version as model/version; " + adapter + " is not configured");
+        }
+    }
+
+    private void validateService(String name, ServiceConfig service) {
+        notBlank(service.group(), "services", name, "group");
+        for (int i = 0; i < service.routes().size(); i++) {
+            ServiceConfig.RouteConfig route = service.routes().get(i);
+            String key = ConfigKey.of("services", name, "routes") + '[' + i + ']';
+            if (route.method() != null && !METHODS.contains(route.method())) {
+                problems.add(ProblemCode.ROUTE_INVALID, key + ".method", "must be an HTTP method in upper case");
+            }
+            if (route.path() != null && !route.path().startsWith("/")) {
+                problems.add(ProblemCode.ROUTE_INVALID, key + ".path", "must start with /");
+            }
+            if (route.path() != null
+                    && route.path().indexOf('*') >= 0
+                    && route.path().indexOf('*') < route.path().length() - 1) {
+                problems.add(ProblemCode.ROUTE_INVALID, key + ".path", "may have * only at its end");
+            }
+        }
+    }
+
+    private void validateLimits() {
+        number(1, LARGEST_BODY_BYTES, "limits", "max_body_bytes");
+        number(1, Integer.MAX_VALUE, "limits", "max_tokens");
+        positiveDuration(config.limits().requestTimeout(), "limits", "request_timeout");
+    }
+
+    private void validatePolicies() {
+        policy(config.policies().admission(), policyNames.admission(), "admission");
+        policy(config.policies().chooser(), policyNames.chooser(), "chooser");
+        policy(config.policies().rollout(), policyNames.rollout(), "rollout");
+    }
+
+    private void policy(String name, SortedSet<String> known, String kind) {
+        if (!known.isEmpty()) {
+            reference(name, known, ProblemCode.POLICY_UNKNOWN, "policies", kind);
+        }
+    }
+
+    private void reference(String name, Set<String> known, ProblemCode code, String... path) {
+        if (name != null && !known.contains(name)) {
+            String list = known.isEmpty() ? "none" : String.join(", ", known);
+            problems.add(code, ConfigKey.of(path), name + " is not configured; known: " + list);
+        }
+    }
+
+    private void notBlank(String value, String... path) {
+        if (value != null && value.isBlank()) {
+            problems.add(ProblemCode.VALUE_OUT_OF_RANGE, ConfigKey.of(path), "must not be empty");
+        }
+    }
+
+    private void positive(String... path) {
+        present(path)
+                .filter(value -> value.asDouble() <= 0)
+                .ifPresent(value -> problems.add(
+                        ProblemCode.VALUE_OUT_OF_RANGE, ConfigKey.of(path), "must be above 0, is " + value.asText()));
+    }
+
+    private void number(double least, double most, String... path) {
+        present(path)
+                .filter(value -> value.asDouble() < least || value.asDouble() > most)
+                .ifPresent(value -> {
+                    String range = most >= Integer.MAX_VALUE
+                            ? "at least " + (long) least
+                            : "between " + (long) least + " and " + (long) most;
+                    problems.add(
+                            ProblemCode.VALUE_OUT_OF_RANGE,
+                            ConfigKey.of(path),
+                            "must be " + range + ", is " + value.asText());
+                });
+    }
+
+    private void positiveDuration(Duration value, String... path) {
+        if (value != null && value.isZero()) {
+            problems.add(ProblemCode.VALUE_OUT_OF_RANGE, ConfigKey.of(path), "must be above 0, is 0");
+        }
+    }
+
+    private Optional<JsonNode> present(String... path) {
+        JsonNode node = tree;
+        for (String name : path) {
+            node = node.path(name);
+        }
+        return node.isMissingNode() ? Optional.empty() : Optional.of(node);
+    }
+}
--- a/kernel/src/main/java/org/masticcroft/kernel/config/CustomerConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/CustomerConfig.java
@@ -9,5 +9,5 @@
  * @param requestsPerSecond limit over all its callers per entry; 0 is unlimited
  */
 public record CustomerConfig(
-        @JsonProperty("weight") double weight,
+        @JsonProperty(value = "weight", required = true) double weight,
         @JsonProperty("requests_per_second") double requestsPerSecond) {}
--- a/kernel/src/main/java/org/masticcroft/kernel/config/DeploymentConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/DeploymentConfig.java
@@ -13,9 +13,9 @@
  * @param adapter adapter in the form {@code model/version}, if any
  */
 public record DeploymentConfig(
-        @JsonProperty("model") String model,
-        @JsonProperty("version") String version,
-        @JsonProperty("group") String group,
+        @JsonProperty(value = "model", required = true) String model,
+        @JsonProperty(value = "version", required = true) String version,
+        @JsonProperty(value = "group", required = true) String group,
         @JsonProperty("fencing") Fencing fencing,
         @JsonProperty("adapter") Optional<String> adapter) {
 
--- a/kernel/src/main/java/org/masticcroft/kernel/config/KeyConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/KeyConfig.java
@@ -10,6 +10,6 @@
  * @param rank name of the rank
  */
 public record KeyConfig(
-        @JsonProperty("sha256") String sha256,
-        @JsonProperty("customer") String customer,
-        @JsonProperty("rank") String rank) {}
+        @JsonProperty(value = "sha256", required = true) String sha256,
+        @JsonProperty(value = "customer", required = true) String customer,
+        @JsonProperty(value = "rank", required = true) String rank) {}
--- a/kernel/src/main/java/org/masticcroft/kernel/config/ModelConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ModelConfig.java
@@ -10,7 +10,8 @@
  *
  * @param versions the versions, by name
  */
-public record ModelConfig(@JsonProperty("versions") SortedMap<String, VersionConfig> versions) {
+public record ModelConfig(
+        @JsonProperty(value = "versions", required = true) SortedMap<String, VersionConfig> versions) {
     public ModelConfig {
         versions = versions == null ? new TreeMap<>() : new TreeMap<>(versions);
     }
--- a/kernel/src/main/java/org/masticcroft/kernel/config/RankConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/RankConfig.java
@@ -12,7 +12,11 @@
  * @param queueLimit largest number of waiting requests per entry
  */
 public record RankConfig(
-        @JsonProperty("order") int order,
-        @JsonProperty("share") double share,
-        @JsonProperty("first_token") Duration firstToken,
-        @JsonProperty("queue_limit") int queueLimit) {}
+        @JsonProperty(value = "order", required = true) int order,
+        @JsonProperty(value = "share", required = true) double share,
+
+        @JsonProperty(value = "first_token", required = true)
+        Duration firstToken,
+
+        @JsonProperty(value = "queue_limit", required = true)
+        int queueLimit) {}
--- a/kernel/src/main/java/org/masticcroft/kernel/config/ServiceConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ServiceConfig.java
@@ -11,8 +11,8 @@
  * @param routes the calls that the service takes; the first match counts
  */
 public record ServiceConfig(
-        @JsonProperty("group") String group,
-        @JsonProperty("routes") List<RouteConfig> routes) {
+        @JsonProperty(value = "group", required = true) String group,
+        @JsonProperty(value = "routes", required = true) List<RouteConfig> routes) {
     public ServiceConfig {
         routes = routes == null ? List.of() : List.copyOf(routes);
     }
@@ -30,8 +30,8 @@
      * @param idempotent whether executing the call twice has the same effect as executing it once
      */
     public record RouteConfig(
-            @JsonProperty("method") String method,
-            @JsonProperty("path") String path,
+            @JsonProperty(value = "method", required = true) String method,
+            @JsonProperty(value = "path", required = true) String path,
             @JsonProperty("idempotent") boolean idempotent) {
 
         /** Returns whether a call belongs to this route. */
--- a/kernel/src/main/java/org/masticcroft/kernel/config/VersionConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/VersionConfig.java
@@ -10,5 +10,5 @@
  * @param size size of the weights in bytes
  */
 public record VersionConfig(
-        @JsonProperty("digest") WeightsDigest digest,
-        @JsonProperty("size") long size) {}
+        @JsonProperty(value = "digest", required = true) WeightsDigest digest,
+        @JsonProperty(value = "size", required = true) long size) {}
