--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -9,8 +9,8 @@
 
 /**
  * Spreads chunks inside a region between peers and brings each chunk into the region once. Only the owner of a chunk
- * fetches it from outside: the first in rendezvous order of the members of the region. The next in order takes over when
- * it has made no progress for a while.
+ * fetches it from outside: the first in rendezvous order of the members of the region. The next in order takes over
+ * when it has made no progress for a while.
  */
 public final class RegionalSwarmPlanner implements FetchPlanner {
     /**
