--- a/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
+++ b/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
@@ -11,6 +11,8 @@
 import java.util.Collection;
 import java.util.Objects;
 import org.eclipse.jetty.server.Server;
+import org.glassfish.jersey.server.ResourceConfig;
+import org.glassfish.jersey.servlet.ServletContainer;
 import org.masticcroft.kernel.lifecycle.Role;
 
 /** Dropwizard application that serves the resources of a role, its metrics and its health checks. */
@@ -19,23 +21,35 @@
     private final MetricRegistry metrics;
     private final Role role;
     private final Collection<?> resources;
+    private final Collection<?> adminResources;
     private Server server;
 
-    private ServiceApplication(HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources) {
+    private ServiceApplication(HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources, Collection<?> adminResources) {
         this.settings = settings;
         this.metrics = metrics;
         this.role = role;
         this.resources = resources;
+        this.adminResources = adminResources;
     }
 
-    /** Creates an application that {@link #start} runs. */
+    /**
+     * Creates an application that {@link #start} runs.
+     *
+     * @param resources JAX-RS resources on the port for callers
+     * @param adminResources JAX-RS resources on the admin port
+     */
     public static ServiceApplication of(
-            HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources) {
+            HttpSettings settings,
+            MetricRegistry metrics,
+            Role role,
+            Collection<?> resources,
+            Collection<?> adminResources) {
         return new ServiceApplication(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(metrics, "metrics"),
                 Objects.requireNonNull(role, "role"),
-                resources);
+                resources,
+                adminResources);
     }
 
     /** Starts the HTTP server and returns. */
@@ -63,6 +77,11 @@
     @Override
     public void run(Configuration configuration, Environment environment) {
         resources.forEach(environment.jersey()::register);
+        if (!adminResources.isEmpty()) {
+            ResourceConfig admin = new ResourceConfig();
+            adminResources.forEach(admin::register);
+            environment.admin().addServlet("admin-resources", new ServletContainer(admin)).addMapping("/api/*");
+        }
         environment.healthChecks().register("ready", new Readiness());
         environment.lifecycle().addServerLifecycleListener(started -> {
             // The process stops the server itself after the role has finished its work in progress.
--- /dev/null
+++ b/service/src/main/java/org/masticcroft/service/process/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly, start and graceful stop of a process. */
+package org.masticcroft.service.process;
