--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/digest/package-info.java
@@ -0,0 +1,2 @@
+/** SHA-256 helpers and the weights digest. */
+package org.masticcroft.standins.digest;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/instances/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's instance list. */
+package org.masticcroft.standins.instances;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Ledgers of executed requests: the local one of an upstream and the collector that survives its crash. */
+package org.masticcroft.standins.ledger;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a plain service. */
+package org.masticcroft.standins.service;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/store/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the weight store and of the origin of weights. */
+package org.masticcroft.standins.store;
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/time/Lagging.java
@@ -0,0 +1,53 @@
+package org.masticcroft.standins.time;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.LongSupplier;
+
+/** A value that readers see only after a lag. */
+public final class Lagging<T> {
+    private record Version<T>(long atMillis, T value) {}
+
+    private final Deque<Version<T>> versions = new ArrayDeque<>();
+    private final LongSupplier lagMillis;
+    private final LongSupplier clockMillis;
+
+    private Lagging(T initial, LongSupplier lagMillis, LongSupplier clockMillis) {
+        this.lagMillis = lagMillis;
+        this.clockMillis = clockMillis;
+        versions.add(new Version<>(Long.MIN_VALUE, initial));
+    }
+
+    /** Creates a value that is visible at once, and whose later versions are visible after the lag. */
+    public static <T> Lagging<T> of(T initial, LongSupplier lagMillis, LongSupplier clockMillis) {
+        return new Lagging<>(initial, lagMillis, clockMillis);
+    }
+
+    /** Returns the newest version, without lag. */
+    public synchronized T newest() {
+        return versions.getLast().value();
+    }
+
+    /** Returns the version that readers see now. */
+    public synchronized T visible() {
+        dropHidden();
+        return versions.getFirst().value();
+    }
+
+    /** Sets a new version. */
+    public synchronized void set(T value) {
+        versions.addLast(new Version<>(clockMillis.getAsLong(), value));
+        dropHidden();
+    }
+
+    private void dropHidden() {
+        long horizon = clockMillis.getAsLong() - lagMillis.getAsLong();
+        while (versions.size() > 1) {
+            Version<T> first = versions.removeFirst();
+            if (versions.getFirst().atMillis() > horizon) {
+                versions.addFirst(first);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/time/package-info.java
@@ -0,0 +1,2 @@
+/** Pacing of byte streams and values that are reported late. */
+package org.masticcroft.standins.time;
