Test the stand-ins and end long polls on expired offsets

Wrong: a long poll from an offset past retention span until its wait ended, because the stream had records later than the offset but none to return.

--- a/standins/src/main/java/org/masticcroft/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/log/LogStandIn.java
@@ -72,7 +72,8 @@
             }
             ObjectNode page = streams.read(stream, from, call.queryNumber("max", DEFAULT_PAGE));
             long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
-            if (!page.get("records").isEmpty() || left <= 0) {
+            boolean expired = page.get("earliest").asLong() > from;
+            if (!page.get("records").isEmpty() || expired || left <= 0) {
                 call.respond(200, page);
                 return;
             }
--- a/standins/src/main/java/org/masticcroft/standins/log/LogStreams.java
+++ b/standins/src/main/java/org/masticcroft/standins/log/LogStreams.java
@@ -80,9 +80,10 @@
         Stream stream = streams.getOrDefault(name, new Stream());
         expire(stream, clockMillis.getAsLong());
         ObjectNode page = Json.object();
-        page.put("earliest", stream.entries.isEmpty() ? stream.next : stream.entries.firstKey());
+        long earliest = stream.entries.isEmpty() ? stream.next : stream.entries.firstKey();
+        page.put("earliest", earliest);
         ArrayNode records = Json.array();
-        long next = Math.min(Math.max(from, 0), stream.next);
+        long next = Math.min(Math.max(from, earliest), stream.next);
         for (Entry entry : stream.entries.tailMap(from, true).values()) {
             if (records.size() >= max) {
                 break;
--- /dev/null
+++ b/standins/src/test/java/org/masticcroft/standins/engine/SlotQueueTest.java
@@ -0,0 +1,60 @@
+package org.masticcroft.standins.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class SlotQueueTest {
+    private final LinkedBlockingQueue<Integer> waitingCounts = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Integer> admitted = new LinkedBlockingQueue<>();
+    private final SlotQueue queue = SlotQueue.of(1, 2, (running, waiting) -> waitingCounts.add(waiting));
+
+    /** Guards against urgent requests that wait behind earlier drafting work in the engine. */
+    @Test
+    void admitsByPriorityThenRefusesBeyondTheBound() throws Exception {
+        queue.acquire(5, CancelSignal.create());
+        CompletableFuture<SlotQueue.Result> low = start(9, CancelSignal.create(), 1);
+        CompletableFuture<SlotQueue.Result> high = start(0, CancelSignal.create(), 2);
+        assertThat(queue.acquire(0, CancelSignal.create())).isEqualTo(SlotQueue.Result.OVERLOADED);
+        queue.release();
+        assertThat(admitted.poll(10, TimeUnit.SECONDS)).isZero();
+        queue.release();
+        assertThat(admitted.poll(10, TimeUnit.SECONDS)).isEqualTo(9);
+        assertThat(List.of(low.get(), high.get())).containsOnly(SlotQueue.Result.ADMITTED);
+    }
+
+    /** Guards against a cancelled request that keeps its place in the queue. */
+    @Test
+    void cancelledRequestLeavesTheQueue() throws Exception {
+        queue.acquire(5, CancelSignal.create());
+        CancelSignal signal = CancelSignal.create();
+        CompletableFuture<SlotQueue.Result> waiting = start(5, signal, 1);
+        signal.cancel();
+        assertThat(waiting.get(10, TimeUnit.SECONDS)).isEqualTo(SlotQueue.Result.CANCELLED);
+        queue.release();
+        assertThat(queue.running()).isZero();
+    }
+
+    private CompletableFuture<SlotQueue.Result> start(int priority, CancelSignal signal, int waiting)
+            throws InterruptedException {
+        CompletableFuture<SlotQueue.Result> result = CompletableFuture.supplyAsync(() -> {
+            try {
+                SlotQueue.Result got = queue.acquire(priority, signal);
+                admitted.add(priority);
+                return got;
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        Integer count = waitingCounts.poll(10, TimeUnit.SECONDS);
+        while (count != null && count != waiting) {
+            count = waitingCounts.poll(10, TimeUnit.SECONDS);
+        }
+        assertThat(count).as("requests in the queue").isEqualTo(waiting);
+        return result;
+    }
+}
