Add first version of the sidecar role

Missing: the role itself.

Ruled out: a planner of its own; the planners come from the plug-in registry and are not part of this change.

--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/CompletionAnswer.java
@@ -0,0 +1,63 @@
+package org.masticcroft.sidecar.dispatch;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.verdict.Verdict;
+
+/** Whole response of an engine: one JSON object. Nothing is passed on before it is complete. */
+final class CompletionAnswer implements Answer {
+    /** Largest whole response; 128 of them at this size would not fit, but 4,096 tokens take about 20 KB. */
+    static final int MAX_BYTES = 4 << 20;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Usage usage = Usage.NONE;
+
+    @Override
+    public void accept(byte[] data, int length, ByteArrayOutputStream passOn) {
+        body.write(data, 0, length);
+        if (body.size() > MAX_BYTES) {
+            throw incomplete("the response is larger than " + MAX_BYTES + " bytes", null);
+        }
+    }
+
+    @Override
+    public void end(ByteArrayOutputStream passOn) {
+        byte[] bytes = body.toByteArray();
+        usage = usageOf(parse(bytes));
+        passOn.writeBytes(bytes);
+    }
+
+    @Override
+    public Usage usage() {
+        return usage;
+    }
+
+    static Usage usageOf(JsonNode message) {
+        JsonNode usage = message.path("usage");
+        return new Usage(
+                usage.path("prompt_tokens").asInt(),
+                usage.path("completion_tokens").asInt());
+    }
+
+    static MasticcroftException incomplete(String message, Throwable cause) {
+        return MasticcroftException.of(ErrorCode.ANSWER_INCOMPLETE, Verdict.MAY_HAVE_RUN, message, cause);
+    }
+
+    private static JsonNode parse(byte[] bytes) {
+        try {
+            JsonNode message = JSON.readTree(bytes);
+            if (message != null && message.isObject()) {
+                return message;
+            }
+        } catch (IOException e) {
+            throw incomplete("the response is not complete JSON", e);
+        }
+        throw incomplete("the response is not a JSON object", null);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/EngineGateway.java
@@ -0,0 +1,124 @@
+package org.masticcroft.sidecar.dispatch;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.verdict.Verdict;
+import org.masticcroft.platform.engine.EngineClient;
+import org.masticcroft.platform.engine.EngineRequest;
+import org.masticcroft.platform.engine.EngineState;
+import org.masticcroft.platform.service.UpstreamCall;
+import org.masticcroft.platform.service.UpstreamResponse;
+import org.masticcroft.sidecar.target.EngineMonitor;
+import org.masticcroft.sidecar.target.WeightsUse;
+import org.masticcroft.wire.generated.Dispatch;
+
+/** An engine. */
+public final class EngineGateway implements Gateway {
+    private final EngineClient client;
+    private final EngineMonitor monitor;
+    private final WeightsUse use;
+
+    private EngineGateway(EngineClient client, EngineMonitor monitor, WeightsUse use) {
+        this.client = client;
+        this.monitor = monitor;
+        this.use = use;
+    }
+
+    /** Creates the gateway of one engine. */
+    public static EngineGateway of(EngineClient client, EngineMonitor monitor, WeightsUse use) {
+        return new EngineGateway(
+                Objects.requireNonNull(client, "client"),
+                Objects.requireNonNull(monitor, "monitor"),
+                Objects.requireNonNull(use, "use"));
+    }
+
+    @Override
+    public int slots() {
+        return monitor.latest().map(EngineState::slots).orElse(0);
+    }
+
+    @Override
+    public String incarnation() {
+        return monitor.incarnation();
+    }
+
+    @Override
+    public Optional<ErrorCode> refusal(Dispatch dispatch) {
+        boolean loaded = WeightsDigest.isValid(dispatch.getWeightsDigest()) && monitor.isLoaded(digest(dispatch));
+        return loaded ? Optional.empty() : Optional.of(ErrorCode.WEIGHTS_NOT_LOADED);
+    }
+
+    @Override
+    public boolean reserve(Dispatch dispatch) {
+        if (!use.tryAcquire(digest(dispatch))) {
+            return false;
+        }
+        if (monitor.isLoaded(digest(dispatch))) {
+            return true;
+        }
+        use.release(digest(dispatch));
+        return false;
+    }
+
+    @Override
+    public void release(Dispatch dispatch) {
+        use.release(digest(dispatch));
+    }
+
+    @Override
+    public UpstreamCall open(Dispatch dispatch) {
+        return client.open(new EngineRequest(
+                dispatch.getRequestId(),
+                dispatch.getPath(),
+                dispatch.getBody().toByteArray(),
+                dispatch.getStream(),
+                digest(dispatch),
+                dispatch.getRankOrder(),
+                dispatch.getResumeFrom()));
+    }
+
+    @Override
+    public void cancel(Dispatch dispatch) {
+        client.cancel(dispatch.getRequestId());
+    }
+
+    @Override
+    public boolean hasEnded(String incarnation) {
+        try {
+            String now = client.state().incarnation();
+            return !now.equals(incarnation);
+        } catch (MasticcroftException e) {
+            boolean gone = e.verdict() == Verdict.NOT_RUN;
+            if (gone) {
+                monitor.forget();
+            }
+            return gone;
+        }
+    }
+
+    @Override
+    public Answer answer(Dispatch dispatch, UpstreamResponse response, String incarnation) {
+        if (response.status() / 100 != 2) {
+            return new PlainAnswer();
+        }
+        require("weights digest", dispatch.getWeightsDigest(), response.weightsDigest());
+        require("incarnation", incarnation, response.incarnation());
+        return dispatch.getStream() ? new StreamAnswer(dispatch.getWeightsDigest()) : new CompletionAnswer();
+    }
+
+    private static void require(String what, String expected, Optional<String> reported) {
+        if (!reported.equals(Optional.of(expected))) {
+            throw MasticcroftException.of(
+                    ErrorCode.WEIGHTS_MISMATCH,
+                    Verdict.RAN,
+                    "the engine reports " + what + " " + reported.orElse("none") + " instead of " + expected);
+        }
+    }
+
+    private static WeightsDigest digest(Dispatch dispatch) {
+        return WeightsDigest.of(dispatch.getWeightsDigest());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Forwarder.java
@@ -0,0 +1,77 @@
+package org.masticcroft.sidecar.dispatch;
+
+import com.google.protobuf.ByteString;
+import java.security.MessageDigest;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.masticcroft.platform.service.UpstreamResponse;
+import org.masticcroft.platform.weights.Sha256;
+import org.masticcroft.wire.PeerResponder;
+import org.masticcroft.wire.generated.Dispatch;
+import org.masticcroft.wire.generated.DispatchChunk;
+import org.masticcroft.wire.generated.DispatchHead;
+import org.masticcroft.wire.generated.Envelope;
+
+/** Passes a response on to the entry in numbered pieces. Used by one worker thread. */
+final class Forwarder {
+    /** Pieces of this size keep the buffers of the connection small and its other calls moving. */
+    static final int MAX_PIECE_BYTES = 64 << 10;
+
+    private static final long WRITABLE_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
+    private final ActiveDispatch active;
+    private final PeerResponder responder;
+    private final MessageDigest sha256 = Sha256.newDigest();
+    private int sequence;
+    private long byteCount;
+    private boolean headSent;
+
+    Forwarder(ActiveDispatch active) {
+        this.active = Objects.requireNonNull(active, "active");
+        this.responder = active.responder();
+    }
+
+    long byteCount() {
+        return byteCount;
+    }
+
+    byte[] sha256() {
+        return headSent ? sha256.digest() : new byte[0];
+    }
+
+    void head(UpstreamResponse response) {
+        if (!headSent) {
+            headSent = true;
+            Dispatch dispatch = active.dispatch();
+            responder.send(Envelope.newBuilder()
+                    .setDispatchHead(DispatchHead.newBuilder()
+                            .setRequestId(dispatch.getRequestId())
+                            .setAttempt(dispatch.getAttempt())
+                            .setStatus(response.status())
+                            .setContentType(response.contentType())));
+        }
+    }
+
+    void data(byte[] data) {
+        for (int from = 0; from < data.length; from += MAX_PIECE_BYTES) {
+            int length = Math.min(MAX_PIECE_BYTES, data.length - from);
+            awaitWritable();
+            sha256.update(data, from, length);
+            byteCount += length;
+            responder.send(Envelope.newBuilder()
+                    .setDispatchChunk(DispatchChunk.newBuilder()
+                            .setSequence(sequence++)
+                            .setData(ByteString.copyFrom(data, from, length))));
+        }
+    }
+
+    /** Waits while the entry reads slowly. A stop or a lost connection ends the wait. */
+    private void awaitWritable() {
+        while (!responder.isWritable()
+                && responder.isOpen()
+                && active.stopReason().isEmpty()) {
+            LockSupport.parkNanos(WRITABLE_POLL_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/ServiceGateway.java
@@ -0,0 +1,73 @@
+package org.masticcroft.sidecar.dispatch;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.platform.service.ServiceClient;
+import org.masticcroft.platform.service.UpstreamCall;
+import org.masticcroft.platform.service.UpstreamRequest;
+import org.masticcroft.platform.service.UpstreamResponse;
+import org.masticcroft.wire.generated.Dispatch;
+
+/** A plain service. */
+public final class ServiceGateway implements Gateway {
+    private final ServiceClient client;
+    private final int slots;
+
+    private ServiceGateway(ServiceClient client, int slots) {
+        this.client = client;
+        this.slots = slots;
+    }
+
+    /** Creates a gateway that runs at most {@code slots} calls at the same time. */
+    public static ServiceGateway of(ServiceClient client, int slots) {
+        return new ServiceGateway(Objects.requireNonNull(client, "client"), slots);
+    }
+
+    @Override
+    public int slots() {
+        return slots;
+    }
+
+    @Override
+    public String incarnation() {
+        return "";
+    }
+
+    @Override
+    public Optional<ErrorCode> refusal(Dispatch dispatch) {
+        return Optional.empty();
+    }
+
+    @Override
+    public boolean reserve(Dispatch dispatch) {
+        return true;
+    }
+
+    @Override
+    public void release(Dispatch dispatch) {}
+
+    @Override
+    public UpstreamCall open(Dispatch dispatch) {
+        return client.open(new UpstreamRequest(
+                dispatch.getRequestId(),
+                dispatch.getMethod(),
+                dispatch.getPath(),
+                dispatch.getContentType(),
+                dispatch.getBody().toByteArray(),
+                dispatch.getIdempotent()));
+    }
+
+    @Override
+    public void cancel(Dispatch dispatch) {}
+
+    @Override
+    public boolean hasEnded(String incarnation) {
+        return !client.acceptsConnections();
+    }
+
+    @Override
+    public Answer answer(Dispatch dispatch, UpstreamResponse response, String incarnation) {
+        return new PlainAnswer();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/BitmapExchange.java
@@ -0,0 +1,98 @@
+package org.masticcroft.sidecar.fetch;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Objects;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.wire.PeerClient;
+import org.masticcroft.wire.generated.Envelope;
+import org.masticcroft.wire.generated.HaveReply;
+import org.masticcroft.wire.generated.HaveRequest;
+
+/** Asks a changing sample of the peers which chunks they hold. Called by one thread. */
+final class BitmapExchange {
+    static final int MAX_NEIGHBOURS = 16;
+    /** Neighbours of other regions in a sample; the owners of this region need only a few outside sources. */
+    static final int MAX_REMOTE_NEIGHBOURS = 4;
+
+    private static final Duration INTERVAL = Duration.ofMillis(500);
+    private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Members members;
+    private final PeerTable peers;
+    private final PeerClient client;
+    private final TimeSource time;
+    private final UniformRandomProvider random;
+    private WeightsDigest asked;
+    private long askedAtNanos;
+
+    BitmapExchange(Members members, PeerTable peers, PeerClient client, TimeSource time, UniformRandomProvider random) {
+        this.members = Objects.requireNonNull(members, "members");
+        this.peers = Objects.requireNonNull(peers, "peers");
+        this.client = Objects.requireNonNull(client, "client");
+        this.time = Objects.requireNonNull(time, "time");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /** Asks for bitmaps if the last time is long enough ago. */
+    void poll(WeightsDigest digest) {
+        boolean sameWeights = digest.equals(asked);
+        if (sameWeights && time.since(askedAtNanos).compareTo(INTERVAL) < 0) {
+            return;
+        }
+        if (!sameWeights) {
+            peers.clearBitmaps();
+        }
+        asked = digest;
+        askedAtNanos = time.nanoTime();
+        List<Instance> all = members.peers(digest);
+        peers.retain(all.stream().map(Instance::id).toList());
+        sample(all).forEach(instance -> ask(instance, digest));
+    }
+
+    /** Returns at most {@link #MAX_NEIGHBOURS}, those of this region first. */
+    List<Instance> sample(List<Instance> all) {
+        List<Instance> near =
+                shuffled(all.stream().filter(members::isSameRegion).toList());
+        List<Instance> far = shuffled(
+                all.stream().filter(instance -> !members.isSameRegion(instance)).toList());
+        int farCount = Math.min(far.size(), Math.max(MAX_REMOTE_NEIGHBOURS, MAX_NEIGHBOURS - near.size()));
+        List<Instance> chosen = new ArrayList<>(near.subList(0, Math.min(near.size(), MAX_NEIGHBOURS - farCount)));
+        chosen.addAll(far.subList(0, farCount));
+        return chosen;
+    }
+
+    private List<Instance> shuffled(List<Instance> instances) {
+        List<Instance> result = new ArrayList<>(instances);
+        for (int i = result.size() - 1; i > 0; i--) {
+            int j = random.nextInt(i + 1);
+            result.set(j, result.set(i, result.get(j)));
+        }
+        return result;
+    }
+
+    private void ask(Instance instance, WeightsDigest digest) {
+        Envelope.Builder request =
+                Envelope.newBuilder().setHaveRequest(HaveRequest.newBuilder().setWeightsDigest(digest.value()));
+        InetSocketAddress address = new InetSocketAddress(instance.host(), instance.peerPort());
+        client.call(address, request, REPLY_TIMEOUT).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                peers.setBack(instance.id(), PeerTable.FAILURE_SET_BACK, "no-bitmap");
+            } else if (reply.hasHaveReply()
+                    && reply.getHaveReply().getWeightsDigest().equals(digest.value())) {
+                HaveReply have = reply.getHaveReply();
+                peers.bitmap(
+                        instance,
+                        members.isSameRegion(instance),
+                        BitSet.valueOf(have.getBitmap().toByteArray()),
+                        have.getFreeUploadSlots());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
@@ -0,0 +1,395 @@
+package org.masticcroft.sidecar.fetch;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.rollout.Fetch;
+import org.masticcroft.kernel.rollout.FetchPlanner;
+import org.masticcroft.kernel.rollout.FetchView;
+import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.platform.engine.EngineClient;
+import org.masticcroft.platform.engine.EngineState;
+import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.sidecar.target.ManifestCache;
+import org.masticcroft.sidecar.target.Reconciler;
+import org.masticcroft.sidecar.target.Target;
+
+/** Fetches one set of weights at a time, at most {@link #MAX_IN_TRANSIT} chunks at once. */
+public final class ChunkFetcher implements Reconciler.FetchControl {
+    /** Chunks in the memory of the sidecar at the same time. */
+    public static final int MAX_IN_TRANSIT = 8;
+    /** Chunks in transit from other regions; more would only share the same limited bandwidth. */
+    static final int MAX_REMOTE_IN_TRANSIT = 2;
+    /** Chunks that are tried in one round; a planner that names sources that may not be used now ends there. */
+    static final int MAX_SKIPPED = 32;
+    /** Pause after the store or the staging area failed. */
+    static final Duration RETRY_PAUSE = Duration.ofMillis(500);
+
+    private final ManifestCache manifests;
+    private final EngineClient engine;
+    private final ChunkTransfer transfer;
+    private final PeerTable peers;
+    private final BitmapExchange exchange;
+    private final PlannerSupplier planner;
+    private final TokenBucket interRegion;
+    private final Environment environment;
+    private final AtomicInteger pumpRequests = new AtomicInteger();
+
+    private Target target;
+    private FetchJob job;
+    private EngineState engineState;
+    private long storeBlockedUntilNanos;
+    private long stagingBlockedUntilNanos;
+
+    ChunkFetcher(
+            ManifestCache manifests,
+            EngineClient engine,
+            ChunkTransfer transfer,
+            PeerTable peers,
+            BitmapExchange exchange,
+            PlannerSupplier planner,
+            TokenBucket interRegion,
+            Environment environment) {
+        this.manifests = manifests;
+        this.engine = engine;
+        this.transfer = transfer;
+        this.peers = peers;
+        this.exchange = exchange;
+        this.planner = planner;
+        this.interRegion = interRegion;
+        this.environment = environment;
+        this.storeBlockedUntilNanos = environment.time.nanoTime();
+        this.stagingBlockedUntilNanos = storeBlockedUntilNanos;
+    }
+
+    /** Returns the weights that are being fetched. */
+    public synchronized Optional<WeightsDigest> current() {
+        return Optional.ofNullable(target).map(Target::digest);
+    }
+
+    /** Returns the verified and staged chunks of the weights that are being fetched. */
+    public synchronized Optional<BitSet> held(WeightsDigest digest) {
+        return job != null && job.manifest.digest().equals(digest)
+                ? Optional.of((BitSet) job.held.clone())
+                : Optional.empty();
+    }
+
+    @Override
+    public synchronized void start(Target newTarget) {
+        if (target != null && !target.digest().equals(newTarget.digest())) {
+            abandon("target-changed");
+        }
+        target = newTarget;
+    }
+
+    @Override
+    public synchronized void stop(String reason) {
+        abandon(reason);
+        target = null;
+    }
+
+    @Override
+    public synchronized void engineState(EngineState state) {
+        engineState = state;
+        if (job != null && !job.incarnation.equals(state.incarnation())) {
+            abandon("engine-restarted");
+        }
+    }
+
+    /** Starts as many transfers as are useful now. Overlapping calls are merged into the one that is running. */
+    public void pump() {
+        if (pumpRequests.getAndIncrement() > 0) {
+            return;
+        }
+        int seen;
+        do {
+            seen = pumpRequests.get();
+            startTransfers();
+        } while (!pumpRequests.compareAndSet(seen, 0));
+    }
+
+    private void startTransfers() {
+        Optional<FetchJob> current = openJob();
+        if (current.isEmpty()) {
+            return;
+        }
+        FetchJob open = current.get();
+        exchange.poll(open.manifest.digest());
+        Set<Integer> skipped = new HashSet<>();
+        Optional<Fetch> next = plan(open, skipped);
+        while (next.isPresent() && skipped.size() < MAX_SKIPPED) {
+            Fetch fetch = next.get();
+            boolean remote = isRemote(fetch.source());
+            if (admit(open, fetch, remote)) {
+                environment.workers.execute(() -> run(open, fetch, remote));
+            }
+            skipped.add(fetch.chunk());
+            next = plan(open, skipped);
+        }
+    }
+
+    /** Returns the job of the target, and begins it once the manifest and the engine's state are known. */
+    private synchronized Optional<FetchJob> openJob() {
+        if (target == null || engineState == null) {
+            return Optional.empty();
+        }
+        if (job == null) {
+            manifests.request(target);
+            manifests.find(target.digest()).ifPresent(this::begin);
+        }
+        return Optional.ofNullable(job).filter(open -> !open.complete());
+    }
+
+    private void begin(Manifest manifest) {
+        BitSet staged = new BitSet(manifest.chunkCount());
+        engineState
+                .staged(manifest.digest())
+                .ifPresent(weights -> weights.chunks().stream()
+                        .filter(index -> index >= 0 && index < manifest.chunkCount())
+                        .forEach(staged::set));
+        job = new FetchJob(manifest, engineState.incarnation(), staged, environment.time.nanoTime());
+        EventLog.info(
+                Event.FETCH_STARTED,
+                "digest",
+                manifest.digest(),
+                "chunks",
+                manifest.chunkCount(),
+                "staged",
+                staged.cardinality());
+    }
+
+    private void abandon(String reason) {
+        if (job != null) {
+            job.ended = true;
+            if (!job.complete()) {
+                EventLog.info(
+                        Event.FETCH_ABANDONED,
+                        "digest",
+                        job.manifest.digest(),
+                        "held",
+                        job.held.cardinality(),
+                        "reason",
+                        reason);
+            }
+            job = null;
+        }
+    }
+
+    /** Asks the planner for a chunk that is neither in transit nor was tried in this round. */
+    private synchronized Optional<Fetch> plan(FetchJob current, Set<Integer> skipped) {
+        boolean stagingBlocked = environment.time.nanoTime() - stagingBlockedUntilNanos < 0;
+        if (current.ended || stagingBlocked || current.inProgress.size() >= MAX_IN_TRANSIT) {
+            return Optional.empty();
+        }
+        Set<Integer> excluded = new HashSet<>(current.inProgress);
+        excluded.addAll(skipped);
+        return planner.planner().next(view(current, excluded), environment.random);
+    }
+
+    private FetchView view(FetchJob current, Set<Integer> excluded) {
+        WeightsDigest digest = current.manifest.digest();
+        return new FetchView(
+                environment.self,
+                current.manifest.chunkCount(),
+                (BitSet) current.held.clone(),
+                excluded,
+                environment.members.regionMembers(digest),
+                peers.view(current.startNanos),
+                environment.time.since(current.startNanos).toMillis(),
+                environment.time.since(current.lastProgressNanos).toMillis());
+    }
+
+    private synchronized boolean admit(FetchJob current, Fetch fetch, boolean remote) {
+        int chunk = fetch.chunk();
+        boolean useless = chunk < 0
+                || chunk >= current.manifest.chunkCount()
+                || current.held.get(chunk)
+                || current.inProgress.contains(chunk);
+        boolean storeBlocked = fetch.source() instanceof Fetch.Source.Store
+                && environment.time.nanoTime() - storeBlockedUntilNanos < 0;
+        if (current.ended || useless || storeBlocked || (remote && !admitRemote(current, chunk))) {
+            return false;
+        }
+        current.inProgress.add(chunk);
+        current.remoteInProgress += remote ? 1 : 0;
+        EventLog.info(
+                Event.FETCH_DECISION,
+                "digest",
+                current.manifest.digest(),
+                "chunk",
+                chunk,
+                "source",
+                name(fetch.source()),
+                "reason",
+                fetch.reason());
+        return true;
+    }
+
+    /** Applies this sidecar's part of the bandwidth between regions, which all owners of the region share. */
+    private boolean admitRemote(FetchJob current, int chunk) {
+        if (current.remoteInProgress >= MAX_REMOTE_IN_TRANSIT) {
+            return false;
+        }
+        int owners =
+                environment.members.regionMembers(current.manifest.digest()).size();
+        interRegion.rate((double) environment.interRegionBytesPerSecond / Math.max(1, owners));
+        return interRegion.tryTake(current.manifest.chunkLength(chunk));
+    }
+
+    private boolean isRemote(Fetch.Source source) {
+        return source instanceof Fetch.Source.PeerSource peer
+                ? peers.find(peer.instance())
+                        .filter(found -> !found.sameRegion())
+                        .isPresent()
+                : environment.storeIsRemote;
+    }
+
+    private void run(FetchJob current, Fetch fetch, boolean remote) {
+        boolean progress = false;
+        try {
+            progress = !current.ended && transferAndStage(current, fetch);
+        } catch (RuntimeException e) {
+            EventLog.error(Event.INTERNAL_ERROR, e, "what", "chunk transfer");
+        } finally {
+            finished(current, fetch, remote, progress);
+        }
+        if (progress) {
+            pump();
+        }
+    }
+
+    private boolean transferAndStage(FetchJob current, Fetch fetch) {
+        ChunkTransfer.Result result = transfer.load(current.manifest, fetch);
+        if (result.data().isEmpty()) {
+            if (fetch.source() instanceof Fetch.Source.Store) {
+                blockStore();
+            }
+            return false;
+        }
+        byte[] data = result.data().get();
+        environment
+                .metrics
+                .counter(MetricRegistry.name("sidecar.fetch.bytes", kind(fetch.source())))
+                .inc(data.length);
+        return !current.ended && stage(current, fetch.chunk(), data);
+    }
+
+    /** Puts a verified chunk into the engine; the engine must name the same digest for what it stored. */
+    private boolean stage(FetchJob current, int chunk, byte[] data) {
+        String expected = current.manifest.chunks().get(chunk);
+        try {
+            String stored = engine.putChunk(current.manifest.digest(), chunk, data);
+            if (expected.equals(stored)) {
+                return true;
+            }
+            rejected(current, chunk, "engine", "engine stored other bytes");
+        } catch (MasticcroftException e) {
+            EventLog.warn(Event.SOURCE_SET_BACK, "source", "engine", "reason", e.getMessage());
+        }
+        blockStaging();
+        return false;
+    }
+
+    private synchronized void finished(FetchJob current, Fetch fetch, boolean remote, boolean staged) {
+        current.inProgress.remove(fetch.chunk());
+        current.remoteInProgress -= remote ? 1 : 0;
+        if (!staged || current.ended) {
+            return;
+        }
+        current.held.set(fetch.chunk());
+        current.lastProgressNanos = environment.time.nanoTime();
+        if (current.complete()) {
+            EventLog.info(
+                    Event.ROLLOUT_FINISHED,
+                    "digest",
+                    current.manifest.digest(),
+                    "ms",
+                    environment.time.since(current.startNanos).toMillis());
+            environment.onComplete.run();
+        }
+    }
+
+    private void rejected(FetchJob current, int chunk, String source, String reason) {
+        environment.metrics.counter("sidecar.fetch.rejected").inc();
+        EventLog.warn(
+                Event.CHUNK_REJECTED,
+                "digest",
+                current.manifest.digest(),
+                "chunk",
+                chunk,
+                "source",
+                source,
+                "reason",
+                reason);
+    }
+
+    private synchronized void blockStore() {
+        storeBlockedUntilNanos = environment.time.nanoTime() + RETRY_PAUSE.toNanos();
+    }
+
+    private synchronized void blockStaging() {
+        stagingBlockedUntilNanos = environment.time.nanoTime() + RETRY_PAUSE.toNanos();
+    }
+
+    private String kind(Fetch.Source source) {
+        if (source instanceof Fetch.Source.Store) {
+            return "store";
+        }
+        return isRemote(source) ? "peer-remote" : "peer-region";
+    }
+
+    static String name(Fetch.Source source) {
+        return source instanceof Fetch.Source.PeerSource peer ? peer.instance() : "store";
+    }
+
+    /** Returns the planner that the configuration names now. */
+    public interface PlannerSupplier {
+        FetchPlanner planner();
+    }
+
+    /**
+     * What the fetcher shares with the rest of the sidecar.
+     *
+     * @param self instance id of this sidecar
+     * @param storeIsRemote whether the weight store is in another region
+     * @param interRegionBytesPerSecond limit on traffic from other regions, for all owners of this region together
+     * @param members the sidecars that want the same weights
+     * @param workers runs transfers; with at least {@link #MAX_IN_TRANSIT} threads
+     * @param time the clock
+     * @param random source of randomness for the planner, used under the lock of the fetcher only
+     * @param metrics registry of metrics
+     * @param onComplete called when all chunks are staged; must not block
+     */
+    public record Environment(
+            String self,
+            boolean storeIsRemote,
+            long interRegionBytesPerSecond,
+            Members members,
+            Executor workers,
+            TimeSource time,
+            UniformRandomProvider random,
+            MetricRegistry metrics,
+            Runnable onComplete) {
+        /** Rejects nulls. */
+        public Environment {
+            Objects.requireNonNull(self, "self");
+            Objects.requireNonNull(members, "members");
+            Objects.requireNonNull(workers, "workers");
+            Objects.requireNonNull(time, "time");
+            Objects.requireNonNull(random, "random");
+            Objects.requireNonNull(metrics, "metrics");
+            Objects.requireNonNull(onComplete, "onComplete");
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetchJob.java
@@ -0,0 +1,32 @@
+package org.masticcroft.sidecar.fetch;
+
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import org.masticcroft.platform.weights.Manifest;
+
+/** The fetch of one set of weights into one incarnation of the engine. Guarded by the lock of the fetcher. */
+final class FetchJob {
+    final Manifest manifest;
+    final String incarnation;
+    final long startNanos;
+    final BitSet held;
+    final Set<Integer> inProgress = new HashSet<>();
+    int remoteInProgress;
+    long lastProgressNanos;
+    /** Read without the lock by transfers, which stop early when their job has ended. */
+    volatile boolean ended;
+
+    FetchJob(Manifest manifest, String incarnation, BitSet held, long nowNanos) {
+        this.manifest = Objects.requireNonNull(manifest, "manifest");
+        this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+        this.held = Objects.requireNonNull(held, "held");
+        this.startNanos = nowNanos;
+        this.lastProgressNanos = nowNanos;
+    }
+
+    boolean complete() {
+        return held.cardinality() == manifest.chunkCount();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/Members.java
@@ -0,0 +1,60 @@
+package org.masticcroft.sidecar.fetch;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.config.FleetConfig;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.platform.instance.InstanceList;
+import org.masticcroft.sidecar.SidecarSettings;
+import org.masticcroft.sidecar.target.Target;
+
+/** The live sidecars that want the same weights. */
+public final class Members {
+    private final InstanceList instances;
+    private final ConfigView config;
+    private final SidecarSettings.Identity self;
+
+    private Members(InstanceList instances, ConfigView config, SidecarSettings.Identity self) {
+        this.instances = instances;
+        this.config = config;
+        this.self = self;
+    }
+
+    /** Creates the view of {@code self}. */
+    public static Members of(InstanceList instances, ConfigView config, SidecarSettings.Identity self) {
+        return new Members(
+                Objects.requireNonNull(instances, "instances"),
+                Objects.requireNonNull(config, "config"),
+                Objects.requireNonNull(self, "self"));
+    }
+
+    /** Returns the other live sidecars whose configuration names these weights. */
+    public List<Instance> peers(WeightsDigest digest) {
+        FleetConfig current = config.state().config();
+        return instances.instances().stream()
+                .filter(instance -> instance.role() == Instance.Role.SIDECAR)
+                .filter(instance -> instance.state() == Instance.State.LIVE)
+                .filter(instance -> !instance.id().equals(self.instance()))
+                .filter(instance -> instance.upstream()
+                        .filter(upstream -> Target.names(current, upstream.group(), digest))
+                        .isPresent())
+                .toList();
+    }
+
+    /** Returns the ids of the sidecars of this region that want these weights; with this one, even if unlisted. */
+    public List<String> regionMembers(WeightsDigest digest) {
+        return Stream.concat(
+                        Stream.of(self.instance()),
+                        peers(digest).stream().filter(this::isSameRegion).map(Instance::id))
+                .sorted()
+                .toList();
+    }
+
+    /** Returns whether an instance is in the region of this sidecar. */
+    public boolean isSameRegion(Instance instance) {
+        return self.region().equals(instance.region());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Fetching of weights by chunk from peers and the weight store into the staging area of the engine.
+ *
+ * <p>Lock order: {@code ChunkFetcher}, then {@code PeerTable}, then {@code TokenBucket}. No lock is held during I/O.
+ */
+package org.masticcroft.sidecar.fetch;
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/status/package-info.java
@@ -0,0 +1,2 @@
+/** What the sidecar tells entries about itself. */
+package org.masticcroft.sidecar.status;
