Add decision implementations behind the kernel interfaces

Cause: the decision interfaces had no implementation. Change: ranked-fair and fifo admission, prefix-affinity, random and least-in-flight choosers, budgeted and always retry, sliding retry budget, consecutive-failure breaker, regional-swarm and store-only fetch planners, side-by-side and replace placement, all registered in META-INF/services. PreemptionPolicy (share-preserving, never) chooses the request that makes way for an urgent one. AdmissionQueue gains the default method requeue for preempted tickets. FetchView gains the component store, which tells the first region from the others; the constructor without it stays. Ruled out: measuring the guaranteed share over a time window gives a rank that was idle a burst ahead of urgent work; shares accrue only while a rank waits. Conclusion: every default of PolicyConfig resolves (PluginRegistryTest).

--- a/kernel/src/main/java/org/masticcroft/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/AdmissionQueue.java
@@ -15,6 +15,15 @@
      */
     Admission offer(Ticket ticket, long nowNanos);
 
+    /**
+     * Puts a preempted ticket back without regard to the queue bound, because its request has already been accepted.
+     * The caller must have called {@link #finish} for the tokens used so far; the ticket carries the remaining cost and
+     * the original arrival time.
+     */
+    default Admission requeue(Ticket ticket, long nowNanos) {
+        return offer(ticket, nowNanos);
+    }
+
     /**
      * Removes and returns the ticket that goes next. The ticket counts as running until {@link #finish}.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Rendezvous hashing. */
+package org.masticcroft.kernel.hash;
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/FetchView.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/FetchView.java
@@ -16,6 +16,7 @@
  * @param peers the peers whose bitmap is known
  * @param sinceStartMillis time since this sidecar began to fetch these weights
  * @param lastProgressMillis time since this sidecar last completed a chunk
+ * @param store what is known of the weight store
  */
 public record FetchView(
         String self,
@@ -25,7 +26,8 @@
         List<String> regionMembers,
         List<Peer> peers,
         long sinceStartMillis,
-        long lastProgressMillis) {
+        long lastProgressMillis,
+        Store store) {
     /** Copies the collections; the bit sets are shared and must not be modified. */
     public FetchView {
         Objects.requireNonNull(self, "self");
@@ -33,6 +35,29 @@
         inProgress = Set.copyOf(inProgress);
         regionMembers = List.copyOf(regionMembers);
         peers = List.copyOf(peers);
+        Objects.requireNonNull(store, "store");
+    }
+
+    /** Creates a view of a sidecar in the first region, whose weight store is not suspected. */
+    public FetchView(
+            String self,
+            int chunkCount,
+            BitSet held,
+            Set<Integer> inProgress,
+            List<String> regionMembers,
+            List<Peer> peers,
+            long sinceStartMillis,
+            long lastProgressMillis) {
+        this(
+                self,
+                chunkCount,
+                held,
+                inProgress,
+                regionMembers,
+                peers,
+                sinceStartMillis,
+                lastProgressMillis,
+                Store.of(true));
     }
 
     /**
@@ -51,4 +76,17 @@
             Objects.requireNonNull(chunks, "chunks");
         }
     }
+
+    /**
+     * The weight store.
+     *
+     * @param firstRegion whether this region draws from the store; the others wait for peers of the first region
+     * @param suspectedUntilMillis time, on the scale of {@code sinceStartMillis}, until which the store is set back
+     */
+    public record Store(boolean firstRegion, long suspectedUntilMillis) {
+        /** Returns a store that is not suspected. */
+        public static Store of(boolean firstRegion) {
+            return new Store(firstRegion, 0);
+        }
+    }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/routing/RandomChooser.java
@@ -0,0 +1,26 @@
+package org.masticcroft.kernel.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Baseline: any candidate, with equal probability. */
+public final class RandomChooser implements UpstreamChooser {
+    /** Creates the plug-in; used by the service loader. */
+    public RandomChooser() {}
+
+    @Override
+    public String name() {
+        return "random";
+    }
+
+    @Override
+    public Optional<Choice> choose(
+            RoutingRequest request, List<UpstreamLoad> candidates, UniformRandomProvider random) {
+        List<UpstreamLoad> permitted = Loads.permitted(request, candidates);
+        return permitted.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Choice(
+                        permitted.get(random.nextInt(permitted.size())).upstream(), name()));
+    }
+}
