Add the experiment command with rank, fairness and preemption

Cause: no policy had been measured. Ruled out: one request holding a share of a batch step; a fixed time per token and slot keeps the fake small.

--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/Experiments.java
@@ -0,0 +1,16 @@
+package org.masticcroft.experiments;
+
+import java.util.List;
+import org.masticcroft.experiments.serving.FairnessExperiment;
+import org.masticcroft.experiments.serving.PreemptionExperiment;
+import org.masticcroft.experiments.serving.RankExperiment;
+
+/** All experiments. */
+public final class Experiments {
+    private Experiments() {}
+
+    /** Returns one experiment per decision. */
+    public static List<Experiment> all() {
+        return List.of(new RankExperiment(), new FairnessExperiment(), new PreemptionExperiment());
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/choice/package-info.java
@@ -0,0 +1,2 @@
+/** Experiment on the choice of an upstream. */
+package org.masticcroft.experiments.choice;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Experiment on the placement of versions. */
+package org.masticcroft.experiments.placement;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/replay/EngineFake.java
@@ -0,0 +1,165 @@
+package org.masticcroft.experiments.replay;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.masticcroft.experiments.trace.Deployment;
+import org.masticcroft.experiments.trace.TraceRequest;
+
+/**
+ * Fake of an engine: a number of slots, a fixed time per token, and a bounded cache of prompt prefixes. A change of
+ * speed affects requests that start after it.
+ */
+public final class EngineFake {
+    private static final int CACHED_PREFIXES = 48;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final String name;
+    private final int slots;
+    private final EventLoop loop;
+    private final Map<String, Run> running = new LinkedHashMap<>();
+    private final LinkedHashMap<Integer, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+    private double slowness = 1;
+    private boolean dead;
+    private long hits;
+    private long lookups;
+
+    private EngineFake(String name, int slots, EventLoop loop) {
+        this.name = name;
+        this.slots = slots;
+        this.loop = loop;
+    }
+
+    /** Creates an idle engine with an empty cache. */
+    public static EngineFake of(String name, int slots, EventLoop loop) {
+        return new EngineFake(name, slots, loop);
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public int slots() {
+        return slots;
+    }
+
+    /** Returns the number of running requests. */
+    public int inFlight() {
+        return running.size();
+    }
+
+    public boolean isDead() {
+        return dead;
+    }
+
+    public boolean hasFreeSlot() {
+        return !dead && running.size() < slots;
+    }
+
+    public boolean isCached(int prefix) {
+        return prefixes.containsKey(prefix);
+    }
+
+    public long hits() {
+        return hits;
+    }
+
+    public long lookups() {
+        return lookups;
+    }
+
+    /** Sets the factor by which all times are longer than usual. */
+    public void slowDown(double factor) {
+        slowness = factor;
+    }
+
+    /**
+     * Starts a request. It runs beyond the slots too, as an engine that queues does, at proportionally lower speed.
+     *
+     * @param request the request
+     * @param done tokens that an earlier attempt has already delivered
+     * @param listener is told of the first token and of the end
+     */
+    public void start(TraceRequest request, int done, Listener listener) {
+        double crowding = Math.max(1, (running.size() + 1.0) / slots);
+        double tokenNanos = Deployment.TOKEN_MILLIS * NANOS_PER_MILLI * slowness * crowding;
+        lookups++;
+        boolean cached = prefixes.put(request.prefix(), true) != null;
+        hits += cached ? 1 : 0;
+        if (prefixes.size() > CACHED_PREFIXES) {
+            prefixes.remove(prefixes.keySet().iterator().next());
+        }
+        int prefill = done + (cached ? request.promptTokens() / 4 : request.promptTokens());
+        double first = loop.now() + prefill * Deployment.PREFILL_MILLIS * NANOS_PER_MILLI * slowness + tokenNanos;
+        int tokens = request.outputTokens() - done;
+        Run run = new Run(listener, first, tokenNanos, tokens);
+        running.put(request.id(), run);
+        loop.at((long) first, () -> {
+            if (running.get(request.id()) == run) {
+                listener.onFirstToken();
+            }
+        });
+        loop.at((long) (first + (tokens - 1) * tokenNanos), () -> {
+            if (running.remove(request.id(), run)) {
+                listener.onEnd(tokens);
+            }
+        });
+    }
+
+    /** Returns the time of the next token of a running request. */
+    public long nextTokenNanos(String requestId) {
+        Run run = running.get(requestId);
+        double steps = Math.ceil((loop.now() - run.firstNanos()) / run.tokenNanos());
+        return (long) Math.ceil(run.firstNanos() + Math.max(0, steps) * run.tokenNanos());
+    }
+
+    /** Returns whether a request is running. */
+    public boolean isRunning(String requestId) {
+        return running.containsKey(requestId);
+    }
+
+    /** Stops a running request and returns the tokens that it has produced. */
+    public int cancel(String requestId) {
+        Run run = running.remove(requestId);
+        double steps = Math.floor((loop.now() - run.firstNanos()) / run.tokenNanos() + 1e-6);
+        return (int) Math.max(0, Math.min(run.tokens(), steps + 1));
+    }
+
+    /** Ends the engine; all running requests fail and the cache is lost. */
+    public void die() {
+        dead = true;
+        failAll();
+    }
+
+    /** Restarts the engine with an empty cache; all running requests fail. */
+    public void restart() {
+        dead = false;
+        failAll();
+    }
+
+    private void failAll() {
+        List<Run> failed = new ArrayList<>(running.values());
+        running.clear();
+        prefixes.clear();
+        failed.forEach(run -> run.listener().onFailure());
+    }
+
+    /** Is told what happens to a request. */
+    public interface Listener {
+        /** The first token of this attempt was produced. */
+        void onFirstToken();
+
+        /**
+         * The request is complete.
+         *
+         * @param tokens tokens produced by this attempt
+         */
+        void onEnd(int tokens);
+
+        /** The engine died. */
+        void onFailure();
+    }
+
+    private record Run(Listener listener, double firstNanos, double tokenNanos, int tokens) {}
+}
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/report/package-info.java
@@ -0,0 +1,2 @@
+/** Results of experiments as tables and plots. */
+package org.masticcroft.experiments.report;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Experiment on retries during a brown-out. */
+package org.masticcroft.experiments.retry;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Experiment on the distribution of weights. */
+package org.masticcroft.experiments.rollout;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on admission, fairness and preemption. */
+package org.masticcroft.experiments.serving;
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Recorded traces: their format and their generator. */
+package org.masticcroft.experiments.trace;
