--- a/service/src/main/java/org/masticcroft/service/EntryCommand.java
+++ b/service/src/main/java/org/masticcroft/service/EntryCommand.java
@@ -49,10 +49,9 @@
 
     @Override
     public Integer call() throws Exception {
-        ServiceContext context =
-                ServiceContext.of(common, "entry", common.accountFlushOr(ACCOUNT_FLUSH), true);
-        VersionNotice notice = VersionNotice.of(
-                context.config(), context.instances(), RandomSource.XO_RO_SHI_RO_128_PP.create());
+        ServiceContext context = ServiceContext.of(common, "entry", common.accountFlushOr(ACCOUNT_FLUSH), true);
+        VersionNotice notice =
+                VersionNotice.of(context.config(), context.instances(), RandomSource.XO_RO_SHI_RO_128_PP.create());
         EntryRole role = Guice.createInjector(context, EntryModule.of(settings()), catchUp(notice))
                 .getInstance(EntryRole.class);
         PeerHandler handler =
--- a/service/src/main/java/org/masticcroft/service/SidecarCommand.java
+++ b/service/src/main/java/org/masticcroft/service/SidecarCommand.java
@@ -101,10 +101,10 @@
 
     @Override
     public Integer call() throws Exception {
-        ServiceContext context =
-                ServiceContext.of(common, "sidecar", common.accountFlushOr(ACCOUNT_FLUSH), false);
+        ServiceContext context = ServiceContext.of(common, "sidecar", common.accountFlushOr(ACCOUNT_FLUSH), false);
         SidecarModule module = SidecarModule.of(settings(context.incarnation()))
-                .withConfigAnswer(request -> ConfigPeerHandler.reply(context.config().state()));
+                .withConfigAnswer(
+                        request -> ConfigPeerHandler.reply(context.config().state()));
         SidecarRole role = Guice.createInjector(context, module).getInstance(SidecarRole.class);
         HttpSettings http = HttpSettings.adminOnly(common.bind(), common.adminPort(), SERVER_THREADS);
         ServiceApplication application = ServiceApplication.of(http, context.metrics(), role, List.of(), List.of());
--- a/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
+++ b/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
@@ -24,7 +24,12 @@
     private final Collection<?> adminResources;
     private Server server;
 
-    private ServiceApplication(HttpSettings settings, MetricRegistry metrics, Role role, Collection<?> resources, Collection<?> adminResources) {
+    private ServiceApplication(
+            HttpSettings settings,
+            MetricRegistry metrics,
+            Role role,
+            Collection<?> resources,
+            Collection<?> adminResources) {
         this.settings = settings;
         this.metrics = metrics;
         this.role = role;
@@ -80,7 +85,10 @@
         if (!adminResources.isEmpty()) {
             ResourceConfig admin = new ResourceConfig();
             adminResources.forEach(admin::register);
-            environment.admin().addServlet("admin-resources", new ServletContainer(admin)).addMapping("/api/*");
+            environment
+                    .admin()
+                    .addServlet("admin-resources", new ServletContainer(admin))
+                    .addMapping("/api/*");
         }
         environment.healthChecks().register("ready", new Readiness());
         environment.lifecycle().addServerLifecycleListener(started -> {
--- a/service/src/main/java/org/masticcroft/service/process/ServiceContext.java
+++ b/service/src/main/java/org/masticcroft/service/process/ServiceContext.java
@@ -48,8 +48,7 @@
         this.instances = instances;
         this.config = config;
         this.peers = peers;
-        this.account = LogAccountWriter.of(
-                withIncarnation(accountSettings, incarnation), key, log, time);
+        this.account = LogAccountWriter.of(withIncarnation(accountSettings, incarnation), key, log, time);
     }
 
     /**
@@ -60,8 +59,7 @@
      * @param publishesSnapshots whether this process re-publishes the configuration before it expires in the log
      * @throws IllegalArgumentException if the account key is malformed
      */
-    public static ServiceContext of(
-            CommonOptions options, String role, Duration flush, boolean publishesSnapshots) {
+    public static ServiceContext of(CommonOptions options, String role, Duration flush, boolean publishesSnapshots) {
         HttpLogService log = HttpLogService.of(options.logUrl());
         HttpInstanceList instances = HttpInstanceList.of(options.instancesUrl());
         TrackerSettings tracking = TrackerSettings.of(options.instance());
