Add the claim table and a first version of the entry role

Missing: the entry module and kernel.claim were empty. Change: fold of the claim stream, key parsing; upstream table, admission gate per upstream group, request state machine, claim log with group commit, poison request marks, peer handler, HTTP resources, Guice module and role. Ruled out: one admission queue for all groups, because a full engine group would hold up orders to plain services; a thread per request, because many requests wait at once.

--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/EntryRole.java
@@ -0,0 +1,155 @@
+package org.masticcroft.entry;
+
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.masticcroft.entry.http.CallerApi;
+import org.masticcroft.entry.http.StatusApi;
+import org.masticcroft.entry.order.ClaimLog;
+import org.masticcroft.entry.order.ClaimLoops;
+import org.masticcroft.entry.peer.EntryPeerHandler;
+import org.masticcroft.entry.peer.StatusPoller;
+import org.masticcroft.entry.request.Intake;
+import org.masticcroft.entry.request.Services;
+import org.masticcroft.entry.task.Workers;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.lifecycle.Role;
+import org.masticcroft.wire.PeerHandler;
+
+/** The process in front of the callers. */
+@Singleton
+public final class EntryRole implements Role {
+    private static final Duration TIMER_INTERVAL = Duration.ofMillis(5);
+    private static final Duration DRAIN_STEP = Duration.ofMillis(10);
+
+    /** Time for the last answers and outcomes after the drain deadline. */
+    private static final Duration CLOSE_LIMIT = Duration.ofSeconds(2);
+
+    private static final int SCHEDULER_THREADS = 2;
+
+    private final Services services;
+    private final Intake intake;
+    private final ClaimLog claims;
+    private final StatusPoller poller;
+    private final ExecutorService workers;
+    private final CallerApi callerApi;
+    private final StatusApi statusApi;
+    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(
+            SCHEDULER_THREADS,
+            new ThreadFactoryBuilder()
+                    .setNameFormat("entry-timer-%d")
+                    .setDaemon(true)
+                    .build());
+    private Optional<ClaimLoops> claimLoops = Optional.empty();
+
+    @Inject
+    EntryRole(
+            Services services,
+            Intake intake,
+            ClaimLog claims,
+            StatusPoller poller,
+            @Workers ExecutorService workers,
+            CallerApi callerApi,
+            StatusApi statusApi) {
+        this.services = Objects.requireNonNull(services, "services");
+        this.intake = Objects.requireNonNull(intake, "intake");
+        this.claims = Objects.requireNonNull(claims, "claims");
+        this.poller = Objects.requireNonNull(poller, "poller");
+        this.workers = Objects.requireNonNull(workers, "workers");
+        this.callerApi = Objects.requireNonNull(callerApi, "callerApi");
+        this.statusApi = Objects.requireNonNull(statusApi, "statusApi");
+    }
+
+    /** Returns the JAX-RS resources for the callers' port. */
+    public List<Object> resources() {
+        return List.of(callerApi);
+    }
+
+    /** Returns the JAX-RS resources for the admin port. */
+    public List<Object> adminResources() {
+        return List.of(statusApi);
+    }
+
+    /**
+     * Returns the handler for the peer server.
+     *
+     * @param next handles the calls that do not concern the entry role
+     */
+    public PeerHandler peerHandler(PeerHandler next) {
+        return EntryPeerHandler.of(
+                services.settings(),
+                services.config(),
+                services.versions(),
+                services.upstreams(),
+                services.suspects(),
+                services.outcomes(),
+                next);
+    }
+
+    @Override
+    public synchronized void start() {
+        repeat(TIMER_INTERVAL, services.timers()::runDue);
+        repeat(StatusPoller.INTERVAL, poller::poll);
+        claimLoops = Optional.of(ClaimLoops.start(claims));
+    }
+
+    @Override
+    public boolean ready() {
+        return !intake.isDraining() && services.config().available();
+    }
+
+    @Override
+    public void beginDrain() {
+        intake.drain();
+    }
+
+    @Override
+    public boolean awaitDrained(Duration deadline) {
+        long end = System.nanoTime() + deadline.toNanos();
+        try {
+            if (!intake.awaitIdle(deadline)) {
+                return false;
+            }
+            while (claims.unwritten() > 0 && System.nanoTime() < end) {
+                TimeUnit.NANOSECONDS.sleep(DRAIN_STEP.toNanos());
+            }
+            return claims.unwritten() == 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        beginDrain();
+        intake.endAll();
+        awaitDrained(CLOSE_LIMIT);
+        claimLoops.ifPresent(ClaimLoops::close);
+        scheduler.shutdownNow();
+        workers.shutdown();
+    }
+
+    private void repeat(Duration interval, Runnable task) {
+        scheduler.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        EventLog.error(Event.INTERNAL_ERROR, e, "where", "scheduler");
+                    }
+                },
+                0,
+                interval.toNanos(),
+                TimeUnit.NANOSECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/admission/Grant.java
@@ -0,0 +1,39 @@
+package org.masticcroft.entry.admission;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.entry.upstream.Weights;
+import org.masticcroft.kernel.admission.AdmissionQueue;
+import org.masticcroft.kernel.admission.Ticket;
+import org.masticcroft.platform.instance.Instance;
+
+/**
+ * A place on an upstream.
+ *
+ * @param ticket ticket as returned by the queue
+ * @param queue queue that charges the ticket
+ * @param upstream name of the upstream
+ * @param instance instance of its sidecar
+ * @param weights weights to run on; empty for a plain service
+ * @param candidates number of candidates
+ * @param candidateNames names of at most eight candidates
+ * @param reason reason for the choice
+ * @param fingerprint fingerprint of the request
+ */
+public record Grant(
+        Ticket ticket,
+        AdmissionQueue queue,
+        String upstream,
+        Instance instance,
+        Optional<Weights> weights,
+        int candidates,
+        List<String> candidateNames,
+        String reason,
+        String fingerprint) {
+    public Grant {
+        Objects.requireNonNull(ticket, "ticket");
+        Objects.requireNonNull(instance, "instance");
+        candidateNames = List.copyOf(candidateNames);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests and their placement on upstreams with room. */
+package org.masticcroft.entry.admission;
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers and operators. */
+package org.masticcroft.entry.http;
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/order/ClaimResult.java
@@ -0,0 +1,39 @@
+package org.masticcroft.entry.order;
+
+import java.util.Objects;
+import org.masticcroft.kernel.claim.ClaimEntry;
+
+/** What the log says about a claim that this entry made. */
+public sealed interface ClaimResult {
+    /**
+     * The attempt owns the key and may be dispatched.
+     *
+     * @param claim the claim
+     */
+    record Owned(ClaimEntry.Claim claim) implements ClaimResult {
+        public Owned {
+            Objects.requireNonNull(claim, "claim");
+        }
+    }
+
+    /** Another attempt owns the key and may have run or be running. */
+    record InProgress() implements ClaimResult {}
+
+    /**
+     * The order was executed.
+     *
+     * @param owner claim under which it was executed
+     * @param outcome its outcome
+     */
+    record AlreadyRan(ClaimEntry.Claim owner, ClaimEntry.Outcome outcome) implements ClaimResult {}
+
+    /** Another attempt owned the key when this claim was made and has ended without running; claim again. */
+    record Lost() implements ClaimResult {}
+
+    /**
+     * The claim is certainly not in the log.
+     *
+     * @param reason reason for the caller
+     */
+    record Unavailable(String reason) implements ClaimResult {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/policy/Policies.java
@@ -0,0 +1,59 @@
+package org.masticcroft.entry.policy;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import org.masticcroft.kernel.admission.AdmissionPlugin;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.plugin.Plugin;
+import org.masticcroft.kernel.plugin.PluginRegistry;
+import org.masticcroft.kernel.retry.RetryPolicy;
+import org.masticcroft.kernel.routing.UpstreamChooser;
+
+/**
+ * Finds decision plug-ins by name. If one is missing, any registered one is used, and without any a minimal substitute,
+ * so that a wrong name in the configuration does not stop the service.
+ */
+public final class Policies {
+    private static final String RETRY_POLICY = "budgeted";
+
+    private final PluginRegistry<AdmissionPlugin> admissions = PluginRegistry.of(AdmissionPlugin.class);
+    private final PluginRegistry<UpstreamChooser> choosers = PluginRegistry.of(UpstreamChooser.class);
+    private final PluginRegistry<RetryPolicy> retries = PluginRegistry.of(RetryPolicy.class);
+    private final Map<String, Plugin> substitutes = new ConcurrentHashMap<>();
+
+    private Policies() {}
+
+    /** Loads the plug-ins that are registered on the class path. */
+    public static Policies load() {
+        return new Policies();
+    }
+
+    /** Returns the admission plug-in of that name or its substitute. */
+    public AdmissionPlugin admission(String name) {
+        return find(admissions, name, new FirstInFirstOutAdmission());
+    }
+
+    /** Returns the upstream chooser of that name or its substitute. */
+    public UpstreamChooser chooser(String name) {
+        return find(choosers, name, new LeastLoadedChooser());
+    }
+
+    /** Returns the retry policy. */
+    public RetryPolicy retry() {
+        return find(retries, RETRY_POLICY, new ImmediateRetryPolicy());
+    }
+
+    private <P extends Plugin> P find(PluginRegistry<P> registry, String name, P minimal) {
+        Objects.requireNonNull(name, "name");
+        return registry.find(name).orElseGet(() -> {
+            P substitute =
+                    registry.names().stream().findFirst().map(registry::require).orElse(minimal);
+            if (substitutes.put(name, substitute) == null) {
+                EventLog.warn(Event.PLUGIN_SUBSTITUTED, "configured", name, "used", substitute.name());
+            }
+            return substitute;
+        });
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/request/Intake.java
@@ -0,0 +1,88 @@
+package org.masticcroft.entry.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.masticcroft.kernel.error.ErrorCode;
+
+/** Registry of the requests in progress. Guarded by its own monitor; calls nothing that blocks while locked. */
+public final class Intake {
+    private final Services services;
+    private final Set<RequestRun> active = new HashSet<>();
+    private boolean draining;
+
+    private Intake(Services services) {
+        this.services = services;
+        services.metrics().gauge("entry.active", () -> this::active);
+    }
+
+    /** Creates an empty registry. */
+    public static Intake of(Services services) {
+        return new Intake(Objects.requireNonNull(services, "services"));
+    }
+
+    /** Starts a request and returns at once; the answer goes to {@code sink}. */
+    public RequestRun accept(CallerRequest request, AnswerSink sink) {
+        RequestRun run = RequestRun.of(services, request, sink);
+        boolean refused;
+        boolean full;
+        synchronized (this) {
+            refused = draining;
+            full = active.size() >= services.settings().maxRequests();
+            active.add(run);
+        }
+        run.ended().whenComplete((result, failure) -> remove(run));
+        if (refused) {
+            run.refuse(ErrorCode.DRAINING, "this entry is about to stop");
+        } else if (full) {
+            run.refuse(ErrorCode.BUSY, "too many requests are in progress");
+        } else {
+            run.start();
+        }
+        return run;
+    }
+
+    /** Returns the number of requests in progress. */
+    public synchronized int active() {
+        return active.size();
+    }
+
+    /** Refuses new requests from now on. */
+    public synchronized void drain() {
+        draining = true;
+    }
+
+    public synchronized boolean isDraining() {
+        return draining;
+    }
+
+    /** Waits until no request is in progress; returns whether that happened in time. */
+    public synchronized boolean awaitIdle(Duration limit) throws InterruptedException {
+        long end = System.nanoTime() + limit.toNanos();
+        while (!active.isEmpty()) {
+            long left = end - System.nanoTime();
+            if (left <= 0) {
+                return false;
+            }
+            TimeUnit.NANOSECONDS.timedWait(this, left);
+        }
+        return true;
+    }
+
+    /** Ends all requests in progress with their true verdict. */
+    public void endAll() {
+        List<RequestRun> remaining;
+        synchronized (this) {
+            remaining = List.copyOf(active);
+        }
+        remaining.forEach(RequestRun::endNow);
+    }
+
+    private synchronized void remove(RequestRun run) {
+        active.remove(run);
+        notifyAll();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/request/Services.java
@@ -0,0 +1,73 @@
+package org.masticcroft.entry.request;
+
+import com.codahale.metrics.MetricRegistry;
+import jakarta.inject.Inject;
+import java.util.concurrent.Executor;
+import org.masticcroft.account.writer.AccountWriter;
+import org.masticcroft.entry.EntrySettings;
+import org.masticcroft.entry.admission.AdmissionGate;
+import org.masticcroft.entry.order.ClaimLog;
+import org.masticcroft.entry.order.OutcomeCache;
+import org.masticcroft.entry.peer.PeerEntries;
+import org.masticcroft.entry.policy.Policies;
+import org.masticcroft.entry.suspect.SuspectTable;
+import org.masticcroft.entry.task.SynchronizedRandom;
+import org.masticcroft.entry.task.Timers;
+import org.masticcroft.entry.task.Workers;
+import org.masticcroft.entry.upstream.DeploymentHistory;
+import org.masticcroft.entry.upstream.UpstreamTable;
+import org.masticcroft.entry.version.VersionGate;
+import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.retry.RetryBudget;
+import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.wire.PeerClient;
+
+/**
+ * What the requests of an entry share.
+ *
+ * @param settings settings of the entry
+ * @param time clock
+ * @param timers timers on that clock
+ * @param workers threads that run requests
+ * @param config the configuration in force
+ * @param versions keeps the entry from acting on an old configuration
+ * @param deployments resolves deployments
+ * @param policies decision plug-ins
+ * @param retryBudget budget of all retries
+ * @param random source of randomness, safe for use by many threads
+ * @param gate admission
+ * @param upstreams upstream table
+ * @param suspects suspect table
+ * @param claims claim log
+ * @param outcomes stored answers of orders
+ * @param entries the other entries
+ * @param peers client of the peer protocol
+ * @param account audit account
+ * @param limiter rate limits of customers
+ * @param metrics metrics
+ */
+public record Services(
+        EntrySettings settings,
+        TimeSource time,
+        Timers timers,
+        @Workers Executor workers,
+        ConfigView config,
+        VersionGate versions,
+        DeploymentHistory deployments,
+        Policies policies,
+        RetryBudget retryBudget,
+        SynchronizedRandom random,
+        AdmissionGate gate,
+        UpstreamTable upstreams,
+        SuspectTable suspects,
+        ClaimLog claims,
+        OutcomeCache outcomes,
+        PeerEntries entries,
+        PeerClient peers,
+        AccountWriter account,
+        RateLimiter limiter,
+        MetricRegistry metrics) {
+    /** Called by the injector. */
+    @Inject
+    public Services {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/masticcroft/entry/upstream/BreakerFactory.java
@@ -0,0 +1,10 @@
+package org.masticcroft.entry.upstream;
+
+import org.masticcroft.kernel.breaker.CircuitBreaker;
+
+/** Creates the circuit breaker of an upstream. */
+@FunctionalInterface
+public interface BreakerFactory {
+    /** Returns a new closed circuit breaker for the upstream of that name. */
+    CircuitBreaker create(String upstream);
+}
--- /dev/null
+++ b/kernel/src/main/java/org/masticcroft/kernel/claim/ClaimState.java
@@ -0,0 +1,33 @@
+package org.masticcroft.kernel.claim;
+
+import java.util.Objects;
+
+/** State of an idempotency key. */
+public sealed interface ClaimState {
+    /** No attempt owns the key, so the order may run under a new claim. */
+    record Free() implements ClaimState {}
+
+    /**
+     * An attempt owns the key and its outcome is unknown.
+     *
+     * @param owner claim that owns the key
+     */
+    record Open(ClaimEntry.Claim owner) implements ClaimState {
+        public Open {
+            Objects.requireNonNull(owner, "owner");
+        }
+    }
+
+    /**
+     * The order was executed.
+     *
+     * @param owner claim under which it was executed
+     * @param outcome its outcome
+     */
+    record Ran(ClaimEntry.Claim owner, ClaimEntry.Outcome outcome) implements ClaimState {
+        public Ran {
+            Objects.requireNonNull(owner, "owner");
+            Objects.requireNonNull(outcome, "outcome");
+        }
+    }
+}
--- a/kernel/src/main/java/org/masticcroft/kernel/claim/package-info.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/claim/package-info.java
@@ -1,2 +1,2 @@
-/** Ownership of idempotency keys, folded from the claim records of the log. */
+/** At-most-once execution: idempotency keys and the fold of the claim stream into the owner and state of each key. */
 package org.masticcroft.kernel.claim;
