--- a/kernel/src/main/java/org/masticcroft/kernel/config/ConfigValidator.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigValidator.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -84,7 +85,10 @@
             }
         }
         if (sum > 1 + SHARE_TOLERANCE) {
-            problems.add(ProblemCode.SHARES_EXCEED_ONE, "ranks", "the shares of all ranks add up to " + sum);
+            problems.add(
+                    ProblemCode.SHARES_EXCEED_ONE,
+                    "ranks",
+                    String.format(Locale.ROOT, "the shares of all ranks add up to %.3f, above 1", sum));
         }
     }
 
@@ -130,7 +134,7 @@
             problems.add(
                     ProblemCode.ADAPTER_INVALID,
                     ConfigKey.of("deployments", name, "adapter"),
-                    "must name a model and a version as model/version; " + adapter + " is not configured");
+                    "must name a model and a version as model/version; " + adapter + " is not defined");
         }
     }
 
@@ -174,7 +178,7 @@
     private void reference(String name, Set<String> known, ProblemCode code, String... path) {
         if (name != null && !known.contains(name)) {
             String list = known.isEmpty() ? "none" : String.join(", ", known);
-            problems.add(code, ConfigKey.of(path), name + " is not configured; known: " + list);
+            problems.add(code, ConfigKey.of(path), name + " is not defined; defined: " + list);
         }
     }
 
--- a/kernel/src/main/java/org/masticcroft/kernel/config/SchemaCheck.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/SchemaCheck.java
@@ -12,10 +12,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.masticcroft.kernel.id.WeightsDigest;
@@ -44,6 +46,9 @@
     /** Returns whether {@code node} fits {@code type}, apart from values that were removed from it. */
     private boolean fits(String key, JsonNode node, JavaType type) {
         Class<?> raw = type.getRawClass();
+        if (node.isNull()) {
+            return report(key, false, ProblemCode.TYPE_INVALID, "has no value");
+        }
         if (raw == Optional.class) {
             return fits(key, node, type.containedTypeOrUnknown(0));
         }
@@ -61,6 +66,7 @@
 
     private boolean checkRecord(String key, ObjectNode node, Class<?> type) {
         Map<String, RecordComponent> components = components(type);
+        Set<String> reported = new HashSet<>();
         for (Map.Entry<String, JsonNode> property : List.copyOf(node.properties())) {
             String childKey = ConfigKey.child(key, property.getKey());
             RecordComponent component = components.get(property.getKey());
@@ -72,11 +78,11 @@
                 node.remove(property.getKey());
             } else if (!fits(childKey, property.getValue(), TYPES.constructType(component.getGenericType()))) {
                 node.remove(property.getKey());
-                components.remove(property.getKey());
+                reported.add(property.getKey());
             }
         }
         components.forEach((name, component) -> {
-            if (annotation(component).required() && !node.has(name)) {
+            if (annotation(component).required() && !node.has(name) && !reported.contains(name)) {
                 problems.add(ProblemCode.KEY_MISSING, ConfigKey.child(key, name), "required key is missing");
             }
         });
--- /dev/null
+++ b/kernel/src/test/java/org/masticcroft/kernel/config/ConfigFoldTest.java
@@ -0,0 +1,185 @@
+package org.masticcroft.kernel.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import org.masticcroft.kernel.config.ConfigFold.Outcome;
+
+class ConfigFoldTest {
+    private static final String SEED = "20261204";
+
+    private enum Kind {
+        UPDATE,
+        DUPLICATE,
+        SNAPSHOT,
+        UNDECODABLE
+    }
+
+    /** An append by an actor that last read the stream {@code lag} records ago. */
+    private record Append(Kind kind, int lag) {}
+
+    /** A stream and, for each prefix of it, the state that a reader from offset 0 has. */
+    private record Stream(List<Optional<ConfigRecord>> records, List<ConfigFold> folds) {
+        private static Stream of(List<Append> appends) {
+            Stream stream = new Stream(new ArrayList<>(), new ArrayList<>(List.of(ConfigFold.empty())));
+            appends.forEach(stream::append);
+            return stream;
+        }
+
+        private void append(Append append) {
+            int length = records.size();
+            ConfigState seen = folds.get(Math.max(0, length - append.lag())).state();
+            Optional<ConfigRecord> next = switch (append.kind()) {
+                case UPDATE -> Optional.of(update("p" + length, seen.version()));
+                case DUPLICATE ->
+                    length == 0 ? Optional.of(update("p0", 0)) : records.get(Math.max(0, length - 1 - append.lag()));
+                case SNAPSHOT -> seen.version() == 0 ? Optional.empty() : Optional.of(ConfigRecord.Snapshot.of(seen));
+                case UNDECODABLE -> Optional.empty();
+            };
+            records.add(next);
+            folds.add(read(folds.get(length), length));
+        }
+
+        private ConfigFold read(ConfigFold fold, int offset) {
+            return records.get(offset)
+                    .map(entry -> fold.fold(offset, entry).fold())
+                    .orElseGet(() -> fold.skip(offset));
+        }
+
+        private ConfigFold reference(ConfigFold fold) {
+            return folds.get((int) fold.position());
+        }
+    }
+
+    private static ConfigRecord.Update update(String publishId, long base) {
+        TreeMap<String, CustomerConfig> customers = new TreeMap<>();
+        customers.put(publishId, new CustomerConfig(1, 0));
+        FleetConfig config = new FleetConfig(null, customers, null, null, null, null, null, null, null);
+        return new ConfigRecord.Update(publishId, base, "", config);
+    }
+
+    @Provide
+    Arbitrary<List<Append>> appends() {
+        Arbitrary<Kind> kinds = Arbitraries.of(
+                Kind.UPDATE, Kind.UPDATE, Kind.UPDATE, Kind.DUPLICATE, Kind.SNAPSHOT, Kind.SNAPSHOT, Kind.UNDECODABLE);
+        Arbitrary<Integer> lags = Arbitraries.integers().between(0, 6);
+        return Combinators.combine(kinds, lags).as(Append::new).list().ofMaxSize(40);
+    }
+
+    private static void assertAgrees(Stream stream, ConfigFold fold) {
+        if (fold.isSynchronised()) {
+            ConfigState expected = stream.reference(fold).state();
+            assertThat(fold.state()).isEqualTo(expected);
+        }
+    }
+
+    /** Guards against two racing updates that both take effect, or against the second one winning. */
+    @Property(seed = SEED)
+    void ofRacingUpdatesTheFirstInTheLogWins(@ForAll("appends") List<Append> appends) {
+        Stream stream = Stream.of(appends);
+        long version = 0;
+        for (int i = 0; i < stream.records().size(); i++) {
+            ConfigState after = stream.folds().get(i + 1).state();
+            boolean wins = stream.records().get(i).orElse(null) instanceof ConfigRecord.Update update
+                    && update.base() == version;
+            version += wins ? 1 : 0;
+            assertThat(after.version()).isEqualTo(version);
+        }
+    }
+
+    /** Guards against an update that takes effect twice because its publisher appended it again. */
+    @Property(seed = SEED)
+    void noPublishIdTakesEffectTwice(@ForAll("appends") List<Append> appends) {
+        Stream stream = Stream.of(appends);
+        Set<String> applied = new HashSet<>();
+        for (int i = 0; i < stream.records().size(); i++) {
+            boolean changed = stream.folds().get(i).state().version()
+                    < stream.folds().get(i + 1).state().version();
+            if (changed) {
+                String id = ((ConfigRecord.Update) stream.records().get(i).orElseThrow()).publishId();
+                assertThat(applied.add(id)).as("first effect of %s", id).isTrue();
+            }
+        }
+    }
+
+    /** Guards against a reader that acts on an update whose base it cannot check, or on a stale snapshot. */
+    @Property(seed = SEED)
+    void readersFromAnyRetainedOffsetAgreeOrHaveNoVersion(
+            @ForAll("appends") List<Append> appends, @ForAll @IntRange(max = 40) int earliest) {
+        Stream stream = Stream.of(appends);
+        ConfigFold fold = ConfigFold.empty().withEarliest(earliest);
+        for (int offset = earliest; offset < stream.records().size(); offset++) {
+            fold = stream.read(fold, offset);
+            assertThat(fold.isSynchronised()).isEqualTo(fold.state().version() > 0 || earliest == 0);
+            assertAgrees(stream, fold);
+        }
+    }
+
+    /** Guards against a version that goes down after a gap, and against updates applied over the gap. */
+    @Property(seed = SEED)
+    void readersThatLoseRecordsNeverGoDownAndAgreeAgain(
+            @ForAll("appends") List<Append> appends,
+            @ForAll @IntRange(max = 40) int read,
+            @ForAll @IntRange(max = 20) int lost) {
+        Stream stream = Stream.of(appends);
+        int size = stream.records().size();
+        int readUpTo = Math.min(read, size);
+        ConfigFold fold = stream.folds().get(readUpTo);
+        for (int offset = Math.min(readUpTo + lost, size); offset < size; offset++) {
+            ConfigFold next = stream.read(fold, offset);
+            assertThat(next.state().version())
+                    .isGreaterThanOrEqualTo(fold.state().version());
+            assertAgrees(stream, next);
+            fold = next;
+        }
+    }
+
+    /** Guards against a peer's offer that lowers the version or leads away from the log. */
+    @Property(seed = SEED)
+    void offersOfPeersNeverLowerTheVersionAndAgreeWithTheLog(
+            @ForAll("appends") List<Append> appends,
+            @ForAll @IntRange(max = 40) int earliest,
+            @ForAll @IntRange(max = 40) int offered,
+            @ForAll @IntRange(max = 40) int offeredAt) {
+        Stream stream = Stream.of(appends);
+        int size = stream.records().size();
+        ConfigState offer = stream.folds().get(Math.min(offered, size)).state();
+        ConfigFold fold = ConfigFold.empty().withEarliest(Math.min(earliest, size));
+        for (int offset = Math.min(earliest, size); offset <= size; offset++) {
+            if (offset >= offeredAt && offer.version() > 0) {
+                ConfigFold adopted = fold.adopt(ConfigRecord.Snapshot.of(offer)).fold();
+                assertThat(adopted.state().version())
+                        .isGreaterThanOrEqualTo(fold.state().version());
+                assertThat(adopted.state().version()).isGreaterThanOrEqualTo(offer.version());
+                fold = adopted;
+                assertAgrees(stream, fold);
+            }
+            if (offset < size) {
+                fold = stream.read(fold, offset);
+                assertAgrees(stream, fold);
+            }
+        }
+    }
+
+    /** Guards against a snapshot of another stream that replaces what this reader has read. */
+    @Property(seed = SEED, tries = 1)
+    void aSnapshotThatContradictsTheStreamHasNoEffect() {
+        ConfigFold fold = ConfigFold.empty().fold(0, update("p0", 0)).fold();
+        ConfigRecord.Snapshot foreign = new ConfigRecord.Snapshot(9, 0, FleetConfig.empty());
+        assertThat(fold.fold(1, foreign).outcome()).isEqualTo(Outcome.SNAPSHOT_CONFLICTING);
+        assertThat(fold.fold(1, foreign).fold().state().version()).isEqualTo(1);
+        assertThat(fold.adopt(foreign).outcome()).isEqualTo(Outcome.SNAPSHOT_CONFLICTING);
+    }
+}
