Correct shares only for service that used a guarantee

Cause: after a request ran on free capacity, its correction raised the rank's open claim, so a slot freed for an urgent request went to the least urgent rank. Ruled out: capping the claim; it would only bound the error. Change: the correction touches the ranks that waited and, for guaranteed service, the served rank.

--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -113,7 +113,7 @@
             return;
         }
         ended.rank().correct(ticket, actualTokens);
-        account(ended.rank(), actualTokens - ticket.estimatedTokens(), ended.onGuarantee());
+        correctShares(ended, actualTokens - ticket.estimatedTokens());
     }
 
     private RankQueue rankOf(Ticket ticket) {
@@ -148,6 +148,18 @@
         }
     }
 
+    /** Corrects what the estimate granted to the ranks that wait; free capacity left no charge to correct. */
+    private void correctShares(Running ended, double tokens) {
+        for (RankQueue rank : byUrgency) {
+            if (rank.waiting() > 0 && rank != ended.rank()) {
+                rank.accrue(tokens);
+            }
+        }
+        if (ended.onGuarantee()) {
+            ended.rank().debit(tokens);
+        }
+    }
+
     private static Admission refuse(ErrorCode code, Duration wait) {
         return new Admission.Refused(code, wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait);
     }
