Verify staged chunks on resumption and bar retired weights

Wrong before: chunks that an engine lists as staged were trusted, so a chunk that was stored wrongly led to a load that the engine refuses, or with an engine that does not verify, to other weights. Staged chunks are now read back and verified, and only a set that this process verified is loaded. A stream that ends regularly after a cancellation at the engine counted as complete; it is now a failure. Weights whose unload is planned take no new requests. Requests for the configuration go to the shared ConfigPeerHandler.

Ruled out: trusting the engine's list for peers as well; an engine reads chunks back only from its staging area.

--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarModule.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarModule.java
@@ -29,7 +29,6 @@
 import org.masticcroft.sidecar.dispatch.EngineGateway;
 import org.masticcroft.sidecar.dispatch.Gateway;
 import org.masticcroft.sidecar.dispatch.ServiceGateway;
-import org.masticcroft.sidecar.status.ConfigAnswer;
 import org.masticcroft.sidecar.status.LeavingNotifier;
 import org.masticcroft.sidecar.status.StatusReporter;
 import org.masticcroft.sidecar.target.WeightsUse;
@@ -44,17 +43,14 @@
     private static final String PLACEMENT_PLANNER = "side-by-side";
 
     private final SidecarSettings settings;
-    private final Optional<ConfigAnswer> configAnswer;
     private final Function<String, FetchPlanner> fetchPlanners;
     private final Optional<PlacementPlanner> placementPlanner;
 
     private SidecarModule(
             SidecarSettings settings,
-            Optional<ConfigAnswer> configAnswer,
             Function<String, FetchPlanner> fetchPlanners,
             Optional<PlacementPlanner> placementPlanner) {
         this.settings = settings;
-        this.configAnswer = configAnswer;
         this.fetchPlanners = fetchPlanners;
         this.placementPlanner = placementPlanner;
     }
@@ -63,19 +59,13 @@
     public static SidecarModule of(SidecarSettings settings) {
         return new SidecarModule(
                 Objects.requireNonNull(settings, "settings"),
-                Optional.empty(),
                 name -> PluginRegistry.of(FetchPlanner.class).require(name),
                 Optional.empty());
     }
 
-    /** Returns a module whose sidecar answers requests for the configuration with {@code answer}. */
-    public SidecarModule withConfigAnswer(ConfigAnswer answer) {
-        return new SidecarModule(settings, Optional.of(answer), fetchPlanners, placementPlanner);
-    }
-
     /** Returns a module with given planners instead of registered ones. */
     SidecarModule withPlanners(PlacementPlanner placement, FetchPlanner fetch) {
-        return new SidecarModule(settings, configAnswer, name -> fetch, Optional.of(placement));
+        return new SidecarModule(settings, name -> fetch, Optional.of(placement));
     }
 
     @Override
@@ -202,11 +192,7 @@
             Drain drain,
             Shared shared) {
         StatusReporter status = StatusReporter.of(settings, shared.config(), dispatcher::load, weights);
-        SidecarPeerHandler handler = new SidecarPeerHandler(
-                dispatcher,
-                status,
-                configAnswer.orElseGet(() -> ConfigAnswer.versionOnly(shared.config())),
-                weights.map(WeightsSide::uploads));
+        SidecarPeerHandler handler = new SidecarPeerHandler(dispatcher, status, weights.map(WeightsSide::uploads));
         SidecarRole role = new SidecarRole(
                 settings,
                 shared.config(),
--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarPeerHandler.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarPeerHandler.java
@@ -5,7 +5,6 @@
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.sidecar.dispatch.Dispatcher;
-import org.masticcroft.sidecar.status.ConfigAnswer;
 import org.masticcroft.sidecar.status.StatusReporter;
 import org.masticcroft.sidecar.upload.ChunkUploads;
 import org.masticcroft.wire.PeerHandler;
@@ -20,14 +19,11 @@
 final class SidecarPeerHandler implements PeerHandler {
     private final Dispatcher dispatcher;
     private final StatusReporter status;
-    private final ConfigAnswer config;
     private final Optional<ChunkUploads> uploads;
 
-    SidecarPeerHandler(
-            Dispatcher dispatcher, StatusReporter status, ConfigAnswer config, Optional<ChunkUploads> uploads) {
+    SidecarPeerHandler(Dispatcher dispatcher, StatusReporter status, Optional<ChunkUploads> uploads) {
         this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
         this.status = Objects.requireNonNull(status, "status");
-        this.config = Objects.requireNonNull(config, "config");
         this.uploads = Objects.requireNonNull(uploads, "uploads");
     }
 
@@ -57,8 +53,6 @@
         switch (request.getBodyCase()) {
             case DISPATCH -> dispatcher.dispatch(request.getDispatch(), responder);
             case STATUS_REQUEST -> responder.finish(Envelope.newBuilder().setStatusReply(status.status()));
-            case CONFIG_REQUEST ->
-                responder.finish(Envelope.newBuilder().setConfigReply(config.answer(request.getConfigRequest())));
             case HAVE_REQUEST, CHUNK_REQUEST -> weights(request, responder);
             case OUTCOME_REQUEST ->
                 responder.finish(Envelope.newBuilder().setOutcomeReply(OutcomeReply.getDefaultInstance()));
--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.lifecycle.Role;
+import org.masticcroft.platform.config.ConfigPeerHandler;
 import org.masticcroft.sidecar.dispatch.Dispatcher;
 import org.masticcroft.sidecar.status.LeavingNotifier;
 import org.masticcroft.wire.PeerServer;
@@ -64,7 +65,9 @@
     @Override
     public void start() {
         server = PeerServer.of(
-                settings.network().peerAddress(), () -> config.state().version(), handler);
+                settings.network().peerAddress(),
+                () -> config.state().version(),
+                ConfigPeerHandler.of(config, handler));
         threads.every(SWEEP_INTERVAL, dispatcher::sweep);
         if (weights.isPresent()) {
             WeightsSide side = weights.get();
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/CompletionAnswer.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/CompletionAnswer.java
@@ -13,6 +13,9 @@
     /** Largest whole response; 128 of them at this size would not fit, but 4,096 tokens take about 20 KB. */
     static final int MAX_BYTES = 4 << 20;
 
+    /** Reason for the end of a response that was cancelled at the engine. */
+    static final String CANCELLED = "cancelled";
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -29,7 +32,9 @@
     @Override
     public void end(ByteArrayOutputStream passOn) {
         byte[] bytes = body.toByteArray();
-        usage = usageOf(parse(bytes));
+        JsonNode message = parse(bytes);
+        requireNotCancelled(message);
+        usage = usageOf(message);
         passOn.writeBytes(bytes);
     }
 
@@ -45,6 +50,16 @@
                 usage.path("completion_tokens").asInt());
     }
 
+    /** Rejects a response that ends regularly but was cut short by a cancellation. */
+    static void requireNotCancelled(JsonNode message) {
+        for (JsonNode choice : message.path("choices")) {
+            if (choice.path("finish_reason").asText().equals(CANCELLED)) {
+                throw MasticcroftException.of(
+                        ErrorCode.CANCELLED, Verdict.MAY_HAVE_RUN, "the request was cancelled at the engine");
+            }
+        }
+    }
+
     static MasticcroftException incomplete(String message, Throwable cause) {
         return MasticcroftException.of(ErrorCode.ANSWER_INCOMPLETE, Verdict.MAY_HAVE_RUN, message, cause);
     }
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/EngineGateway.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/EngineGateway.java
@@ -47,8 +47,10 @@
 
     @Override
     public Optional<ErrorCode> refusal(Dispatch dispatch) {
-        boolean loaded = WeightsDigest.isValid(dispatch.getWeightsDigest()) && monitor.isLoaded(digest(dispatch));
-        return loaded ? Optional.empty() : Optional.of(ErrorCode.WEIGHTS_NOT_LOADED);
+        boolean usable = WeightsDigest.isValid(dispatch.getWeightsDigest())
+                && monitor.isLoaded(digest(dispatch))
+                && !use.isRetiring(digest(dispatch));
+        return usable ? Optional.empty() : Optional.of(ErrorCode.WEIGHTS_NOT_LOADED);
     }
 
     @Override
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/StreamAnswer.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/StreamAnswer.java
@@ -83,7 +83,9 @@
                 throw mismatch("no digest");
             }
             done = true;
-        } else if (data.contains("\"weights_digest\"") || data.contains("\"usage\"")) {
+        } else if (data.contains("\"weights_digest\"")
+                || data.contains("\"usage\"")
+                || data.contains(CompletionAnswer.CANCELLED)) {
             check(parse(data));
         }
         data = "";
@@ -92,6 +94,7 @@
     }
 
     private void check(JsonNode message) {
+        CompletionAnswer.requireNotCancelled(message);
         if (message.path("usage").isObject()) {
             usage = CompletionAnswer.usageOf(message);
         }
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -49,6 +50,7 @@
     private Target target;
     private FetchJob job;
     private EngineState engineState;
+    private final Set<WeightsDigest> completed = new HashSet<>();
     private long storeBlockedUntilNanos;
     private long stagingBlockedUntilNanos;
 
@@ -101,12 +103,28 @@
 
     @Override
     public synchronized void engineState(EngineState state) {
+        if (engineState != null && !engineState.incarnation().equals(state.incarnation())) {
+            completed.clear();
+        }
         engineState = state;
         if (job != null && !job.incarnation.equals(state.incarnation())) {
             abandon("engine-restarted");
         }
     }
 
+    @Override
+    public synchronized boolean isComplete(WeightsDigest digest) {
+        return completed.contains(digest);
+    }
+
+    @Override
+    public synchronized void forget(WeightsDigest digest) {
+        completed.remove(digest);
+        if (job != null && job.manifest.digest().equals(digest)) {
+            abandon("staging-dropped");
+        }
+    }
+
     /** Starts as many transfers as are useful now. Overlapping calls are merged into the one that is running. */
     public void pump() {
         if (pumpRequests.getAndIncrement() > 0) {
@@ -126,6 +144,7 @@
         }
         FetchJob open = current.get();
         exchange.poll(open.manifest.digest());
+        nextUnverified(open).forEach(chunk -> environment.workers.execute(() -> verifyStaged(open, chunk)));
         Set<Integer> skipped = new HashSet<>();
         Optional<Fetch> next = plan(open, skipped);
         while (next.isPresent() && skipped.size() < MAX_SKIPPED) {
@@ -186,6 +205,33 @@
         }
     }
 
+    /** Takes chunks that an earlier sidecar staged, as many as may be in transit. */
+    private synchronized List<Integer> nextUnverified(FetchJob current) {
+        List<Integer> chunks = current.unverified.stream()
+                .limit(MAX_IN_TRANSIT - current.inProgress.size())
+                .boxed()
+                .toList();
+        chunks.forEach(current.unverified::clear);
+        current.inProgress.addAll(chunks);
+        return chunks;
+    }
+
+    /** Reads a chunk back from the engine. One that does not match the manifest is fetched again. */
+    private void verifyStaged(FetchJob current, int chunk) {
+        boolean valid = false;
+        try {
+            valid = !current.ended && current.manifest.matches(chunk, engine.chunk(current.manifest.digest(), chunk));
+            if (!valid && !current.ended) {
+                rejected(current, chunk, "staging-area", "digest-mismatch");
+            }
+        } catch (MasticcroftException e) {
+            rejected(current, chunk, "staging-area", e.getMessage());
+        } finally {
+            finished(current, chunk, false, valid);
+        }
+        pump();
+    }
+
     /** Asks the planner for a chunk that is neither in transit nor was tried in this round. */
     private synchronized Optional<Fetch> plan(FetchJob current, Set<Integer> skipped) {
         boolean stagingBlocked = environment.time.nanoTime() - stagingBlockedUntilNanos < 0;
@@ -207,7 +253,13 @@
                 environment.members.regionMembers(digest),
                 peers.view(current.startNanos),
                 environment.time.since(current.startNanos).toMillis(),
-                environment.time.since(current.lastProgressNanos).toMillis());
+                environment.time.since(current.lastProgressNanos).toMillis(),
+                new FetchView.Store(!environment.storeIsRemote, storeSuspectedUntil(current)));
+    }
+
+    private long storeSuspectedUntil(FetchJob current) {
+        return Math.max(
+                0, Duration.ofNanos(storeBlockedUntilNanos - current.startNanos).toMillis());
     }
 
     private synchronized boolean admit(FetchJob current, Fetch fetch, boolean remote) {
@@ -262,7 +314,7 @@
         } catch (RuntimeException e) {
             EventLog.error(Event.INTERNAL_ERROR, e, "what", "chunk transfer");
         } finally {
-            finished(current, fetch, remote, progress);
+            finished(current, fetch.chunk(), remote, progress);
         }
         if (progress) {
             pump();
@@ -301,15 +353,16 @@
         return false;
     }
 
-    private synchronized void finished(FetchJob current, Fetch fetch, boolean remote, boolean staged) {
-        current.inProgress.remove(fetch.chunk());
+    private synchronized void finished(FetchJob current, int chunk, boolean remote, boolean staged) {
+        current.inProgress.remove(chunk);
         current.remoteInProgress -= remote ? 1 : 0;
         if (!staged || current.ended) {
             return;
         }
-        current.held.set(fetch.chunk());
+        current.held.set(chunk);
         current.lastProgressNanos = environment.time.nanoTime();
         if (current.complete()) {
+            completed.add(current.manifest.digest());
             EventLog.info(
                     Event.ROLLOUT_FINISHED,
                     "digest",
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetchJob.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetchJob.java
@@ -13,15 +13,19 @@
     final long startNanos;
     final BitSet held;
     final Set<Integer> inProgress = new HashSet<>();
+    /** Chunks that the engine listed as staged when the job began, and that are not verified yet. */
+    final BitSet unverified;
+
     int remoteInProgress;
     long lastProgressNanos;
     /** Read without the lock by transfers, which stop early when their job has ended. */
     volatile boolean ended;
 
-    FetchJob(Manifest manifest, String incarnation, BitSet held, long nowNanos) {
+    FetchJob(Manifest manifest, String incarnation, BitSet listed, long nowNanos) {
         this.manifest = Objects.requireNonNull(manifest, "manifest");
         this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
-        this.held = Objects.requireNonNull(held, "held");
+        this.held = new BitSet(manifest.chunkCount());
+        this.unverified = Objects.requireNonNull(listed, "listed");
         this.startNanos = nowNanos;
         this.lastProgressNanos = nowNanos;
     }
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/ManifestCache.java
@@ -0,0 +1,77 @@
+package org.masticcroft.sidecar.target;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.platform.weights.WeightSource;
+
+/** Manifests by weights digest, read from the weight source in the background. Guarded by its monitor. */
+public final class ManifestCache {
+    /** Time between two attempts to read the same manifest; the weight source backs off on its own as well. */
+    private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+
+    private final WeightSource source;
+    private final Executor executor;
+    private final TimeSource time;
+    private final Map<WeightsDigest, Manifest> manifests = new HashMap<>();
+    private final Map<WeightsDigest, Long> askedAtNanos = new HashMap<>();
+
+    private ManifestCache(WeightSource source, Executor executor, TimeSource time) {
+        this.source = source;
+        this.executor = executor;
+        this.time = time;
+    }
+
+    /** Creates an empty cache. */
+    public static ManifestCache of(WeightSource source, Executor executor, TimeSource time) {
+        return new ManifestCache(
+                Objects.requireNonNull(source, "source"),
+                Objects.requireNonNull(executor, "executor"),
+                Objects.requireNonNull(time, "time"));
+    }
+
+    /** Returns the manifest if it has been read. */
+    public synchronized Optional<Manifest> find(WeightsDigest digest) {
+        return Optional.ofNullable(manifests.get(digest));
+    }
+
+    /** Starts to read the manifest of a target, unless it is known or was asked for a moment ago. */
+    public void request(Target target) {
+        if (mustAsk(target.digest())) {
+            executor.execute(() -> read(target));
+        }
+    }
+
+    private synchronized boolean mustAsk(WeightsDigest digest) {
+        Long asked = askedAtNanos.get(digest);
+        boolean recent = asked != null && time.since(asked).compareTo(RETRY_INTERVAL) < 0;
+        if (manifests.containsKey(digest) || recent) {
+            return false;
+        }
+        askedAtNanos.put(digest, time.nanoTime());
+        return true;
+    }
+
+    private void read(Target target) {
+        try {
+            Manifest manifest = source.manifest(target.model(), target.version(), target.digest());
+            if (!manifest.digest().equals(target.digest())) {
+                throw new IllegalStateException("weight source returned an unverified manifest");
+            }
+            synchronized (this) {
+                manifests.put(target.digest(), manifest);
+            }
+        } catch (MasticcroftException e) {
+            EventLog.warn(Event.MANIFEST_UNAVAILABLE, "digest", target.digest(), "reason", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/Reconciler.java
@@ -0,0 +1,252 @@
+package org.masticcroft.sidecar.target;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.config.FleetConfig;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.placement.EngineView;
+import org.masticcroft.kernel.placement.PlacementPlanner;
+import org.masticcroft.kernel.placement.PlacementStep;
+import org.masticcroft.platform.engine.EngineState;
+import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.sidecar.lease.LeaseHolder;
+
+/** Compares the state of the engine with the configuration and takes the steps that the placement planner names. */
+public final class Reconciler {
+    /** Commands in one round. A planner that never reaches its target then cannot keep the thread busy. */
+    private static final int MAX_COMMANDS_PER_ROUND = 4;
+
+    private final String group;
+    private final ConfigView config;
+    private final EngineMonitor monitor;
+    private final LeaseHolder lease;
+    private final EngineCommands commands;
+    private final PlacementPlanner planner;
+    private final ManifestCache manifests;
+    private final FetchControl fetch;
+    private final WeightsUse use;
+    private Set<WeightsDigest> ready = Set.of();
+    private List<PlacementStep> lastPlan = List.of();
+
+    /** Creates the reconciler of one engine. */
+    public Reconciler(
+            String group,
+            ConfigView config,
+            EngineMonitor monitor,
+            LeaseHolder lease,
+            EngineCommands commands,
+            PlacementPlanner planner,
+            ManifestCache manifests,
+            FetchControl fetch,
+            WeightsUse use) {
+        this.group = Objects.requireNonNull(group, "group");
+        this.config = Objects.requireNonNull(config, "config");
+        this.monitor = Objects.requireNonNull(monitor, "monitor");
+        this.lease = Objects.requireNonNull(lease, "lease");
+        this.commands = Objects.requireNonNull(commands, "commands");
+        this.planner = Objects.requireNonNull(planner, "planner");
+        this.manifests = Objects.requireNonNull(manifests, "manifests");
+        this.fetch = Objects.requireNonNull(fetch, "fetch");
+        this.use = Objects.requireNonNull(use, "use");
+    }
+
+    /** Returns the weights that the configuration names for this engine. */
+    public List<Target> targets() {
+        return Target.of(config.state().config(), group);
+    }
+
+    /** Returns whether the engine itself reports every configured set of weights as loaded. */
+    public boolean ready() {
+        List<Target> targets = targets();
+        return !targets.isEmpty() && targets.stream().allMatch(target -> monitor.isLoaded(target.digest()));
+    }
+
+    /** Runs one round. */
+    public synchronized void run() {
+        lease.maintain();
+        Optional<EngineState> state = monitor.refresh();
+        if (config.available()) {
+            targets().forEach(manifests::request);
+            for (int i = 0; i < MAX_COMMANDS_PER_ROUND && state.isPresent() && takeStep(state.get()); i++) {
+                state = monitor.refresh();
+            }
+        }
+        logReadiness();
+    }
+
+    /** Takes the first step that can be taken now; returns whether a command changed the engine. */
+    private boolean takeStep(EngineState state) {
+        fetch.engineState(state);
+        List<PlacementStep> plan = planner.plan(view(state));
+        log(plan);
+        if (plan.stream().noneMatch(step -> step.action() == PlacementStep.Action.FETCH)) {
+            fetch.stop("nothing-to-fetch");
+        }
+        use.retireOnly(plan.stream()
+                .filter(step -> step.action() == PlacementStep.Action.UNLOAD)
+                .map(PlacementStep::digest)
+                .collect(Collectors.toSet()));
+        if (plan.isEmpty()) {
+            return false;
+        }
+        PlacementStep step = plan.get(0);
+        return switch (step.action()) {
+            case FETCH -> startFetch(step.digest());
+            case LOAD -> load(state, step.digest());
+            case UNLOAD -> unload(step.digest());
+            case DROP_STAGED -> dropStaged(step.digest());
+            default -> false;
+        };
+    }
+
+    private boolean startFetch(WeightsDigest digest) {
+        // Chunks are put into the engine under the lease as well; see design 5.5.
+        if (lease.token().isPresent()) {
+            targets().stream()
+                    .filter(target -> target.digest().equals(digest))
+                    .findFirst()
+                    .ifPresent(fetch::start);
+        }
+        return false;
+    }
+
+    private boolean load(EngineState state, WeightsDigest digest) {
+        Optional<Manifest> manifest = manifests.find(digest);
+        if (manifest.isEmpty() || !names(digest) || !isStaged(state, manifest.get())) {
+            return false;
+        }
+        EngineCommands.Outcome outcome = commands.load(manifest.get());
+        monitor.refresh();
+        boolean otherWeights = outcome == EngineCommands.Outcome.DONE && !monitor.isLoaded(digest);
+        if (outcome == EngineCommands.Outcome.INCOMPLETE || otherWeights) {
+            fetch.stop("engine-did-not-load");
+            fetch.forget(digest);
+            commands.dropStaged(digest);
+        }
+        return outcome == EngineCommands.Outcome.DONE;
+    }
+
+    private boolean unload(WeightsDigest digest) {
+        // New requests stay barred until the plan does not contain the step any more.
+        return !names(digest) && use.retire(digest) && commands.unload(digest) == EngineCommands.Outcome.DONE;
+    }
+
+    private boolean dropStaged(WeightsDigest digest) {
+        boolean needed = names(digest) && !monitor.isLoaded(digest);
+        if (needed) {
+            return false;
+        }
+        fetch.forget(digest);
+        return commands.dropStaged(digest) == EngineCommands.Outcome.DONE;
+    }
+
+    private boolean names(WeightsDigest digest) {
+        return Target.names(config.state().config(), group, digest);
+    }
+
+    private EngineView view(EngineState state) {
+        FleetConfig current = config.state().config();
+        Map<WeightsDigest, Set<EngineView.State>> weights = new LinkedHashMap<>();
+        targets().forEach(target -> add(weights, target.digest(), EngineView.State.WANTED));
+        state.loaded().forEach(loaded -> add(weights, loaded.digest(), EngineView.State.LOADED));
+        state.staged().stream()
+                .filter(staged -> !staged.chunks().isEmpty())
+                .forEach(staged -> add(weights, staged.digest(), stagedState(state, staged)));
+        weights.forEach((digest, states) -> {
+            if (use.inUse(digest)) {
+                states.add(EngineView.State.IN_USE);
+            }
+        });
+        return new EngineView(
+                state.memoryBytes(),
+                weights.entrySet().stream()
+                        .map(entry -> new EngineView.Weights(
+                                entry.getKey(), Target.sizeOf(current, entry.getKey()), entry.getValue()))
+                        .toList());
+    }
+
+    private EngineView.State stagedState(EngineState state, EngineState.Staged staged) {
+        boolean complete = manifests
+                .find(staged.digest())
+                .filter(manifest -> isStaged(state, manifest))
+                .isPresent();
+        return complete ? EngineView.State.STAGED : EngineView.State.PARTLY_STAGED;
+    }
+
+    /** Returns whether this process verified all chunks and the engine still lists them. */
+    private boolean isStaged(EngineState state, Manifest manifest) {
+        return fetch.isComplete(manifest.digest())
+                && state.staged(manifest.digest())
+                        .filter(staged -> new HashSet<>(staged.chunks()).size() == manifest.chunkCount())
+                        .isPresent();
+    }
+
+    private static void add(
+            Map<WeightsDigest, Set<EngineView.State>> weights, WeightsDigest digest, EngineView.State state) {
+        weights.computeIfAbsent(digest, key -> new LinkedHashSet<>()).add(state);
+    }
+
+    private void log(List<PlacementStep> plan) {
+        if (plan.equals(lastPlan)) {
+            return;
+        }
+        lastPlan = plan;
+        for (int i = 0; i < plan.size(); i++) {
+            PlacementStep step = plan.get(i);
+            EventLog.info(
+                    Event.PLACEMENT_DECISION,
+                    "step",
+                    (i + 1) + "/" + plan.size(),
+                    "action",
+                    step.action(),
+                    "digest",
+                    step.digest(),
+                    "reason",
+                    step.reason(),
+                    "interrupts_service",
+                    step.interruptsService(),
+                    "config_version",
+                    config.state().version());
+        }
+    }
+
+    private void logReadiness() {
+        Set<WeightsDigest> now = new HashSet<>();
+        targets().stream().map(Target::digest).filter(monitor::isLoaded).forEach(now::add);
+        now.stream()
+                .filter(digest -> !ready.contains(digest))
+                .forEach(digest -> EventLog.info(Event.ENGINE_READY, "digest", digest));
+        ready.stream()
+                .filter(digest -> !now.contains(digest))
+                .forEach(digest -> EventLog.warn(Event.ENGINE_NOT_READY, "digest", digest));
+        ready = now;
+    }
+
+    /** Starts and stops the fetching of weights. */
+    public interface FetchControl {
+        /** Fetches these weights; a fetch of others is abandoned. */
+        void start(Target target);
+
+        /** Abandons the fetch in progress, if there is one. */
+        void stop(String reason);
+
+        /** Tells what the engine holds. */
+        void engineState(EngineState state);
+
+        /** Returns whether all chunks were verified and staged into the present incarnation of the engine. */
+        boolean isComplete(WeightsDigest digest);
+
+        /** Tells that the staged chunks are dropped or not trusted any more. */
+        void forget(WeightsDigest digest);
+    }
+}
--- a/sidecar/src/main/java/org/masticcroft/sidecar/upload/HeldChunks.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/upload/HeldChunks.java
@@ -10,7 +10,7 @@
 import org.masticcroft.sidecar.target.EngineMonitor;
 import org.masticcroft.sidecar.target.ManifestCache;
 
-/** The chunks that the engine holds, staged or loaded. */
+/** The chunks that can be read back from the engine; an engine keeps them staged beside the loaded weights. */
 public final class HeldChunks {
     private final EngineMonitor monitor;
     private final ManifestCache manifests;
@@ -36,9 +36,6 @@
         if (state.isEmpty()) {
             return new BitSet();
         }
-        if (state.get().isLoaded(digest)) {
-            return manifests.find(digest).map(HeldChunks::all).orElseGet(BitSet::new);
-        }
         return fetcher.held(digest).orElseGet(() -> staged(state.get(), digest));
     }
 
@@ -47,12 +44,6 @@
         return manifests.find(digest).map(Manifest::chunkCount).orElse(0);
     }
 
-    private static BitSet all(Manifest manifest) {
-        BitSet chunks = new BitSet(manifest.chunkCount());
-        chunks.set(0, manifest.chunkCount());
-        return chunks;
-    }
-
     private static BitSet staged(EngineState state, WeightsDigest digest) {
         BitSet chunks = new BitSet();
         state.staged(digest)
