--- a/service/src/main/java/org/masticcroft/service/SidecarCommand.java
+++ b/service/src/main/java/org/masticcroft/service/SidecarCommand.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import org.masticcroft.platform.config.ConfigPeerHandler;
 import org.masticcroft.platform.instance.Instance;
 import org.masticcroft.service.http.HttpSettings;
 import org.masticcroft.service.http.ServiceApplication;
@@ -102,9 +101,7 @@
     @Override
     public Integer call() throws Exception {
         ServiceContext context = ServiceContext.of(common, "sidecar", common.accountFlushOr(ACCOUNT_FLUSH), false);
-        SidecarModule module = SidecarModule.of(settings(context.incarnation()))
-                .withConfigAnswer(
-                        request -> ConfigPeerHandler.reply(context.config().state()));
+        SidecarModule module = SidecarModule.of(settings(context.incarnation()));
         SidecarRole role = Guice.createInjector(context, module).getInstance(SidecarRole.class);
         HttpSettings http = HttpSettings.adminOnly(common.bind(), common.adminPort(), SERVER_THREADS);
         ServiceApplication application = ServiceApplication.of(http, context.metrics(), role, List.of(), List.of());
