Add the load driver and the history checker

Missing: a way to drive the entries as callers do, and to decide from outside whether the seven invariants held in a run. Change: harness load, check and mark; one class for each invariant; histories as JSON lines that scripts and the driver append to; ledger entries carry an execution id, because two runs of one order in the same millisecond could not be told apart by their fields. Conclusion: usable by run scripts.

--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/HarnessMain.java
@@ -0,0 +1,28 @@
+package org.masticcroft.harness;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Drives load, marks events and checks histories. */
+@Command(
+        name = "harness",
+        mixinStandardHelpOptions = true,
+        subcommands = {LoadCommand.class, CheckCommand.class, MarkCommand.class},
+        description = "Load driver and history checker for runs of real processes.")
+public final class HarnessMain {
+    /** Exit code 1 is kept for violations. */
+    private static final int FAILED_EXIT_CODE = 2;
+
+    private HarnessMain() {}
+
+    /** Runs a subcommand and exits with its code. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new HarnessMain())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setExecutionExceptionHandler((failure, command, parsed) -> {
+                    command.getErr().println(command.getCommandName() + ": " + failure.getMessage());
+                    return FAILED_EXIT_CODE;
+                })
+                .execute(args));
+    }
+}
--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/Output.java
@@ -0,0 +1,7 @@
+package org.masticcroft.harness;
+
+/** Form of a command's output. */
+enum Output {
+    TEXT,
+    JSON
+}
--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Marks in the answers of the engine stand-in. */
+package org.masticcroft.harness.answer;
--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/check/GracefulStop.java
@@ -0,0 +1,119 @@
+package org.masticcroft.harness.check;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.masticcroft.harness.history.Mark;
+import org.masticcroft.harness.history.Outcome;
+import org.masticcroft.harness.history.Request;
+
+/**
+ * Invariant 6: a planned stop cuts off no request in progress.
+ *
+ * <p>A request is cut off if its connection broke, its response ended early, or its caller was told that it may have
+ * run. It counts against a stop if it ended during the stop and concerns the stopping entry or upstream. In the stop of
+ * an upstream, a cut-off request of unknown upstream counts as well, unless an unplanned fault was marked at that time.
+ * A request that was sent after the stop began and of which nothing was seen, neither a byte of the response nor an
+ * execution, was not yet in progress.
+ */
+public final class GracefulStop implements Invariant {
+    private record Window(String name, long beginMs, long endMs) {
+        private boolean contains(long timeMs) {
+            return timeMs >= beginMs && timeMs <= endMs;
+        }
+    }
+
+    @Override
+    public int number() {
+        return 6;
+    }
+
+    @Override
+    public String title() {
+        return "a planned stop interrupts no request in progress";
+    }
+
+    @Override
+    public Finding check(Evidence evidence) {
+        Finding.Builder finding = new Finding.Builder();
+        List<Window> stops = windows(evidence.marks(), Mark.STOP_BEGIN, Mark.STOP_END);
+        List<Window> faults = windows(evidence.marks(), Mark.FAULT_BEGIN, Mark.FAULT_END);
+        for (Window stop : stops) {
+            for (Request request : evidence.requests()) {
+                request.outcome()
+                        .filter(outcome -> stop.contains(outcome.timeMs()))
+                        .ifPresent(outcome -> {
+                            finding.countCase();
+                            if (isCutOff(outcome)
+                                    && wasInProgress(evidence, request, outcome, stop)
+                                    && concerns(request, outcome, stop, faults)) {
+                                finding.add(Violation.of(
+                                        request,
+                                        "cut off during the planned stop of " + stop.name() + ": "
+                                                + describe(outcome)));
+                            }
+                        });
+            }
+        }
+        return finding.build();
+    }
+
+    private static boolean isCutOff(Outcome outcome) {
+        boolean endedEarly = outcome.status() == 200 && !outcome.complete() && !isTimeout(outcome);
+        boolean mayHaveRun = outcome.verdict().equals("MAY_HAVE_RUN") && !isRefusalOrDeadline(outcome);
+        return outcome.error().equals(Outcome.BROKEN) || endedEarly || mayHaveRun;
+    }
+
+    /**
+     * A re-sent order is refused with MAY_HAVE_RUN while its first copy runs, and a request may reach its deadline;
+     * nothing of either was interrupted.
+     */
+    private static boolean isRefusalOrDeadline(Outcome outcome) {
+        return outcome.status() == 409 || outcome.status() == 504;
+    }
+
+    private static boolean isTimeout(Outcome outcome) {
+        return outcome.error().equals(Outcome.TIMEOUT);
+    }
+
+    private static boolean wasInProgress(Evidence evidence, Request request, Outcome outcome, Window stop) {
+        return request.invoke().timeMs() < stop.beginMs()
+                || outcome.status() != 0
+                || !evidence.executions(request).isEmpty();
+    }
+
+    private static boolean concerns(Request request, Outcome outcome, Window stop, List<Window> faults) {
+        if (request.invoke().entry().equals(stop.name()) || outcome.upstream().equals(stop.name())) {
+            return true;
+        }
+        return !isAddress(stop.name())
+                && outcome.upstream().isEmpty()
+                && faults.stream().noneMatch(fault -> fault.contains(outcome.timeMs()));
+    }
+
+    /** Entries are named by their address; a request to another entry has nothing to do with the stop of one. */
+    private static boolean isAddress(String name) {
+        return name.contains(":");
+    }
+
+    private static String describe(Outcome outcome) {
+        return "status " + outcome.status() + ", error '" + outcome.error() + "', verdict '" + outcome.verdict()
+                + "', code '" + outcome.code() + "'";
+    }
+
+    private static List<Window> windows(List<Mark> marks, String beginKind, String endKind) {
+        List<Window> windows = new ArrayList<>();
+        for (Mark begin : marks) {
+            if (begin.kind().equals(beginKind)) {
+                long end = marks.stream()
+                        .filter(mark ->
+                                mark.kind().equals(endKind) && mark.name().equals(begin.name()))
+                        .mapToLong(Mark::timeMs)
+                        .filter(time -> time >= begin.timeMs())
+                        .min()
+                        .orElse(Long.MAX_VALUE);
+                windows.add(new Window(begin.name(), begin.timeMs(), end));
+            }
+        }
+        return windows;
+    }
+}
--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Executions as the engines and services recorded them. */
+package org.masticcroft.harness.ledger;
--- /dev/null
+++ b/harness/src/main/java/org/masticcroft/harness/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load with a seeded generator. */
+package org.masticcroft.harness.load;
--- a/standins/src/main/java/org/masticcroft/standins/EngineCommand.java
+++ b/standins/src/main/java/org/masticcroft/standins/EngineCommand.java
@@ -12,8 +12,8 @@
 final class EngineCommand implements Callable<Integer> {
     /** Whether commands with an old fencing token are rejected. */
     enum Fencing {
-        honoured,
-        ignored
+        HONOURED,
+        IGNORED
     }
 
     @Mixin
@@ -96,7 +96,7 @@
                 cacheEventLoss,
                 memoryBytes,
                 loadMillis,
-                fencing == Fencing.honoured,
+                fencing == Fencing.HONOURED,
                 verifyLoad,
                 crashText,
                 crashAfterTokens,
--- a/standins/src/main/java/org/masticcroft/standins/StandInMain.java
+++ b/standins/src/main/java/org/masticcroft/standins/StandInMain.java
@@ -25,7 +25,9 @@
     /** Runs a subcommand and exits with its code. */
     public static void main(String[] args) {
         configureHttpServer();
-        System.exit(new CommandLine(new StandInMain()).execute(args));
+        System.exit(new CommandLine(new StandInMain())
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .execute(args));
     }
 
     /** The JDK's server reads these properties once, so they are set before it is first used. */
--- a/standins/src/main/java/org/masticcroft/standins/engine/CompletionHandler.java
+++ b/standins/src/main/java/org/masticcroft/standins/engine/CompletionHandler.java
@@ -9,6 +9,7 @@
 import org.masticcroft.standins.http.Call;
 import org.masticcroft.standins.http.HttpFailure;
 import org.masticcroft.standins.http.Json;
+import org.masticcroft.standins.ledger.ExecutionIds;
 import org.masticcroft.standins.ledger.LedgerWriter;
 
 /** Executes completions: one thread each, which sleeps for the time that its tokens take. */
@@ -27,6 +28,7 @@
     private final PrefixCache cache;
     private final RunningRequests requests;
     private final LedgerWriter ledger;
+    private final ExecutionIds executions;
     private final AtomicLong overloads = new AtomicLong();
     private final AtomicLong tokensProduced = new AtomicLong();
     private final AtomicLong cachedTokens = new AtomicLong();
@@ -48,6 +50,7 @@
         this.cache = cache;
         this.requests = requests;
         this.ledger = ledger;
+        this.executions = ExecutionIds.of(settings.id());
     }
 
     static CompletionHandler of(
@@ -140,6 +143,7 @@
         return Json.object()
                 .put("kind", "engine")
                 .put("source", settings.id())
+                .put("execution", executions.next())
                 .put("incarnation", incarnation)
                 .put("request_id", completion.requestId())
                 .put("model", completion.model())
--- a/standins/src/main/java/org/masticcroft/standins/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/service/ServiceStandIn.java
@@ -11,6 +11,7 @@
 import org.masticcroft.standins.http.Call;
 import org.masticcroft.standins.http.Json;
 import org.masticcroft.standins.http.StandInServer;
+import org.masticcroft.standins.ledger.ExecutionIds;
 import org.masticcroft.standins.ledger.Ledger;
 import org.masticcroft.standins.ledger.LedgerWriter;
 
@@ -37,12 +38,14 @@
     private final Faults faults;
     private final Ledger ledger = Ledger.of(LEDGER_BOUND);
     private final LedgerWriter writer;
+    private final ExecutionIds executions;
     private final AtomicLong refusals = new AtomicLong();
 
     private ServiceStandIn(String id, long delayMillis, Optional<String> ledgerUrl, Faults faults) {
         this.id = id;
         this.delayMillis = delayMillis;
         this.faults = faults;
+        this.executions = ExecutionIds.of(id);
         this.writer = LedgerWriter.of(ledger, ledgerUrl);
     }
 
@@ -89,6 +92,7 @@
         ObjectNode entry = Json.object()
                 .put("kind", "service")
                 .put("source", id)
+                .put("execution", executions.next())
                 .put("request_id", call.header("X-Request-Id").orElse(""))
                 .put("method", call.method())
                 .put("path", call.target())
