--- a/account/src/main/java/org/masticcroft/account/report/TextReport.java
+++ b/account/src/main/java/org/masticcroft/account/report/TextReport.java
@@ -29,7 +29,7 @@
                 "uncertain",
                 "mean ms"));
         report.groups().forEach((key, figures) -> out.add(row(key, figures)));
-        verification.gaps().forEach(gap -> out.add("gap      " + GapText.of(gap)));
+        verification.gaps().forEach(gap -> out.add("gap      " + gap.describe()));
         report.withoutEntryRecord().forEach(id -> out.add("evidence only from sidecars: " + id));
         return out.toString();
     }
--- a/account/src/main/java/org/masticcroft/account/verify/Verification.java
+++ b/account/src/main/java/org/masticcroft/account/verify/Verification.java
@@ -1,5 +1,6 @@
 package org.masticcroft.account.verify;
 
+import java.time.Instant;
 import java.util.List;
 
 /**
@@ -61,7 +62,18 @@
      * @param toMillis end of the gap; 0 if unknown
      * @param records number of missing records; -1 if unknown
      */
-    public record Gap(String writer, Reason reason, long fromMillis, long toMillis, long records) {}
+    public record Gap(String writer, Reason reason, long fromMillis, long toMillis, long records) {
+        /** Returns the gap as one line for a person. */
+        public String describe() {
+            String place = writer.isEmpty() ? "log" : writer;
+            String missing = records < 0 ? "unknown number of records" : records + " records";
+            return place + ": " + reason + ", " + time(fromMillis) + " to " + time(toMillis) + ", " + missing;
+        }
+
+        private static String time(long millis) {
+            return millis == 0 ? "unknown" : Instant.ofEpochMilli(millis).toString();
+        }
+    }
 
     /** Reason of a gap. */
     public enum Reason {
--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
@@ -0,0 +1,28 @@
+package org.masticcroft.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** Parent of the commands on the account. */
+@Command(
+        name = "account",
+        description = "Exports, verifies and summarises the audit account.",
+        synopsisSubcommandLabel = "COMMAND",
+        subcommands = {
+            AccountExportCommand.class,
+            AccountVerifyCommand.class,
+            AccountReportCommand.class,
+            AccountNewKeyCommand.class
+        })
+final class AccountCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(command.commandLine(), "a command is missing");
+    }
+}
