Add the masticcroft command line

Ruled out: finding settings by a mention of their variable in the help; picocli asks the provider of defaults while it expands the help, and the command line ended in a StackOverflowError. An option with a default value is a setting.

--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/EnvironmentDefaults.java
@@ -0,0 +1,35 @@
+package org.masticcroft.cli;
+
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine;
+import picocli.CommandLine.Model.ArgSpec;
+import picocli.CommandLine.Model.OptionSpec;
+
+/**
+ * Takes settings that have no flag on the command line from environment variables; then their defaults apply. A setting
+ * is an option with a default value; other options, such as a version to wait for, have no variable.
+ */
+final class EnvironmentDefaults implements CommandLine.IDefaultValueProvider {
+    private static final String PREFIX = "MASTICCROFT_";
+
+    private final Map<String, String> environment;
+
+    EnvironmentDefaults(Map<String, String> environment) {
+        this.environment = environment;
+    }
+
+    /** Returns the variable of a flag, for example {@code MASTICCROFT_LOG_URL} of {@code --log-url}. */
+    static String variable(String flag) {
+        return PREFIX + flag.replaceFirst("^-+", "").replace('-', '_').toUpperCase(Locale.ROOT);
+    }
+
+    @Override
+    public String defaultValue(ArgSpec argument) {
+        if (!(argument instanceof OptionSpec option)) {
+            return null;
+        }
+        boolean isSetting = option.defaultValue() != null;
+        return isSetting ? environment.get(variable(option.longestName())) : null;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/Pause.java
@@ -0,0 +1,29 @@
+package org.masticcroft.cli.fleet;
+
+import java.time.Duration;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.verdict.Verdict;
+
+/** Waits between two requests. */
+@FunctionalInterface
+public interface Pause {
+    /**
+     * Waits.
+     *
+     * @throws MasticcroftException with {@code CANCELLED} if the thread is interrupted
+     */
+    void of(Duration duration);
+
+    /** Returns a pause in real time. */
+    static Pause sleeping() {
+        return duration -> {
+            try {
+                Thread.sleep(duration.toMillis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw MasticcroftException.of(ErrorCode.CANCELLED, Verdict.MAY_HAVE_RUN, "interrupted", e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/publish/ConfigStream.java
@@ -0,0 +1,88 @@
+package org.masticcroft.cli.publish;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.cli.fleet.FleetProbe;
+import org.masticcroft.cli.fleet.Platform;
+import org.masticcroft.kernel.config.ConfigFold;
+import org.masticcroft.kernel.config.ConfigRecord;
+import org.masticcroft.kernel.config.ConfigState;
+import org.masticcroft.platform.log.LogPage;
+import org.masticcroft.platform.log.LogRecord;
+import org.masticcroft.platform.log.Streams;
+
+/** Reads the stream {@code config} and remembers which publications took effect. */
+public final class ConfigStream {
+    private static final int RECORDS_PER_READ = 100;
+
+    private final Platform platform;
+    private final Map<String, Long> versionsByPublishId = new HashMap<>();
+    private ConfigFold fold = ConfigFold.empty();
+    private long continuousFrom;
+
+    private ConfigStream(Platform platform) {
+        this.platform = platform;
+    }
+
+    /** Creates a reader that has read nothing. */
+    public static ConfigStream of(Platform platform) {
+        return new ConfigStream(Objects.requireNonNull(platform, "platform"));
+    }
+
+    /**
+     * Reads up to the end of the stream. If the retained part does not tell the version in force, instances are asked.
+     *
+     * @return the version in force, or empty if neither the log nor an instance tells it
+     * @throws org.masticcroft.kernel.error.MasticcroftException with {@code LOG_UNAVAILABLE}
+     */
+    public Optional<ConfigState> readToEnd() {
+        LogPage page;
+        do {
+            page = platform.log().read(Streams.CONFIG, fold.position(), RECORDS_PER_READ, Duration.ZERO);
+            continuousFrom = page.earliest() > fold.position() ? page.earliest() : continuousFrom;
+            fold = fold.withEarliest(page.earliest());
+            page.records().forEach(this::take);
+        } while (fold.position() < page.next());
+        if (!fold.isSynchronised()) {
+            FleetProbe.of(platform).newestSnapshot().ifPresent(this::adopt);
+        }
+        return fold.isSynchronised() ? Optional.of(fold.state()) : Optional.empty();
+    }
+
+    /** Returns the version as which a publication took effect, if it did so in the part that was read. */
+    public Optional<Long> versionOf(String publishId) {
+        return Optional.ofNullable(versionsByPublishId.get(publishId));
+    }
+
+    /** Returns the next offset to read. */
+    public long position() {
+        return fold.position();
+    }
+
+    /** Returns whether every record from {@code offset} up to the position was read. */
+    public boolean isContinuousFrom(long offset) {
+        return continuousFrom <= offset;
+    }
+
+    private void adopt(ConfigRecord.Snapshot snapshot) {
+        long before = fold.position();
+        fold = fold.adopt(snapshot).fold();
+        continuousFrom = fold.position() > before ? fold.position() : continuousFrom;
+    }
+
+    private void take(LogRecord logRecord) {
+        Optional<ConfigRecord> decoded = ConfigRecord.decode(logRecord.data());
+        if (decoded.isEmpty()) {
+            fold = fold.skip(logRecord.offset());
+            return;
+        }
+        ConfigFold.Step step = fold.fold(logRecord.offset(), decoded.get());
+        fold = step.fold();
+        if (step.outcome() == ConfigFold.Outcome.APPLIED && decoded.get() instanceof ConfigRecord.Update update) {
+            versionsByPublishId.put(update.publishId(), fold.state().version());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/masticcroft/cli/publish/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and publishing of configurations through the log. */
+package org.masticcroft.cli.publish;
--- a/kernel/src/main/java/org/masticcroft/kernel/config/FleetConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/FleetConfig.java
@@ -63,6 +63,11 @@
                 .findFirst();
     }
 
+    /** Returns this configuration with another set of drained upstreams. */
+    public FleetConfig withDrained(SortedSet<String> upstreams) {
+        return new FleetConfig(ranks, customers, keys, models, deployments, services, limits, policies, upstreams);
+    }
+
     private static <V> SortedMap<String, V> copy(Map<String, V> map) {
         return map == null ? new TreeMap<>() : new TreeMap<>(map);
     }
