--- /dev/null
+++ b/entry/src/test/java/org/masticcroft/entry/order/OrderTest.java
@@ -0,0 +1,254 @@
+package org.masticcroft.entry.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.entry.EntryFixture;
+import org.masticcroft.entry.EntryFixture.FakeCall;
+import org.masticcroft.entry.EntryFixture.FakeLog;
+import org.masticcroft.entry.EntryFixture.FakeSink;
+import org.masticcroft.entry.request.CallerRequest;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.verdict.Verdict;
+import org.masticcroft.wire.generated.Envelope;
+import org.masticcroft.wire.generated.OutcomeRequest;
+
+class OrderTest {
+    private static final String KEY = Instant.parse("2026-12-04T08:00:00Z") + ".order-1";
+
+    private final FakeLog log = new FakeLog();
+    private final EntryFixture entry = EntryFixture.of("entry-a", log);
+
+    private FakeCall dispatched(FakeSink caller) {
+        entry.claims();
+        assertThat(caller.failure).isEmpty();
+        return entry.peers.last();
+    }
+
+    @Nested
+    class Keys {
+        @Test
+        void areRequired() {
+            FakeSink caller =
+                    entry.send(CallerRequest.Kind.SERVICE, "switch", "POST", "/orders/1", Optional.empty(), "x");
+            assertThat(caller.code()).isEqualTo(ErrorCode.IDEMPOTENCY_KEY_REQUIRED);
+            assertThat(caller.verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+
+        @Test
+        void thatAreExpiredAreRefusedAsUncertain() {
+            FakeSink caller = entry.order("2026-12-03T08:00:00Z.order-1");
+            assertThat(caller.code()).isEqualTo(ErrorCode.IDEMPOTENCY_KEY_EXPIRED);
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    @Nested
+    class Dispatch {
+        /** Guards against a dispatch before the claim was read back from the log. */
+        @Test
+        void followsTheClaim() {
+            FakeSink caller = entry.order(KEY);
+            assertThat(entry.peers.calls).isEmpty();
+            entry.services.claims().commit();
+            entry.settle();
+            assertThat(entry.peers.calls).isEmpty();
+            FakeCall call = dispatched(caller);
+            assertThat(call.dispatch.getClaim().getDispatchByEpochMs())
+                    .isEqualTo(Instant.parse("2026-12-04T08:00:10Z").toEpochMilli());
+            assertThat(call.dispatch.getIdempotent()).isFalse();
+            call.answer("done");
+            assertThat(caller.body()).isEqualTo("done");
+            entry.claims();
+            assertThat(log.text()).contains("\"verdict\":\"RAN\"");
+        }
+
+        /** Guards against a second execution after an uncertain attempt. */
+        @Test
+        void isNotRepeatedAfterAnUncertainAttempt() {
+            FakeSink caller = entry.order(KEY);
+            dispatched(caller).lose(Verdict.MAY_HAVE_RUN);
+            assertThat(entry.peers.calls).hasSize(1);
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            FakeSink again = entry.order(KEY);
+            entry.claims();
+            assertThat(again.code()).isEqualTo(ErrorCode.ORDER_IN_PROGRESS);
+            assertThat(entry.peers.calls).hasSize(1);
+        }
+
+        @Test
+        void isRepeatedAfterADefiniteNotRun() {
+            FakeSink caller = entry.order(KEY);
+            dispatched(caller).fail(Verdict.NOT_RUN, ErrorCode.UPSTREAM_FAILED);
+            assertThat(entry.peers.calls).hasSize(2);
+            entry.peers.last().answer("done");
+            assertThat(caller.body()).isEqualTo("done");
+        }
+
+        /** Guards against an order that runs long after its claim because the entry was paused. */
+        @Test
+        void doesNotHappenAfterTheDispatchByTime() {
+            FakeSink caller = entry.order(KEY);
+            entry.services.claims().commit();
+            entry.time.advance(Duration.ofSeconds(11));
+            entry.claims();
+            assertThat(entry.peers.calls).isEmpty();
+            assertThat(caller.code()).isEqualTo(ErrorCode.CLAIM_LAPSED);
+            assertThat(caller.verdict()).isEqualTo(Verdict.NOT_RUN);
+            entry.claims();
+            assertThat(log.text()).contains("\"verdict\":\"NOT_RUN\"");
+        }
+
+        /** Guards against an outcome that is lost because the caller was answered first. */
+        @Test
+        void isStillRecordedAfterTheDeadline() {
+            FakeSink caller = entry.order(KEY);
+            FakeCall call = dispatched(caller);
+            entry.advance(Duration.ofSeconds(31));
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(call.sent).isEmpty();
+            call.answer("done");
+            entry.claims();
+            assertThat(entry.order(KEY).body()).isEqualTo("done");
+            assertThat(entry.peers.calls).hasSize(1);
+        }
+    }
+
+    @Nested
+    class SendingAgain {
+        @Test
+        void whileRunningIsRefusedAsUncertain() {
+            dispatched(entry.order(KEY));
+            FakeSink again = entry.order(KEY);
+            assertThat(again.code()).isEqualTo(ErrorCode.ORDER_IN_PROGRESS);
+            assertThat(again.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        @Test
+        void afterSuccessReturnsTheStoredAnswer() {
+            dispatched(entry.order(KEY)).answer("done");
+            entry.claims();
+            FakeSink again = entry.order(KEY);
+            assertThat(again.body()).isEqualTo("done");
+            assertThat(again.headers.orElseThrow().replayed()).isTrue();
+            assertThat(entry.peers.calls).hasSize(1);
+        }
+
+        /** Guards against an order that runs again at another entry. */
+        @Test
+        void toAnotherEntryAsksTheOwner() {
+            dispatched(entry.order(KEY)).answer("done");
+            entry.claims();
+            EntryFixture other = EntryFixture.of("entry-b", log);
+            other.otherEntry("entry-a", 9100);
+            other.peers.entries = request -> entry.ask(request.toBuilder());
+            FakeSink again = other.order(KEY);
+            other.claims();
+            assertThat(again.body()).isEqualTo("done");
+            assertThat(other.peers.calls).isEmpty();
+        }
+
+        /** Guards against an order that runs again after its owner died. */
+        @Test
+        void afterTheDeathOfTheOwnerIsRefused() {
+            dispatched(entry.order(KEY));
+            EntryFixture other = EntryFixture.of("entry-b", log);
+            FakeSink again = other.order(KEY);
+            other.claims();
+            assertThat(again.code()).isEqualTo(ErrorCode.ORDER_IN_PROGRESS);
+            entry.peers.last().answer("done");
+            entry.claims();
+            other.claims();
+            FakeSink later = other.order(KEY);
+            other.claims();
+            assertThat(later.code()).isEqualTo(ErrorCode.ALREADY_RUN);
+            assertThat(later.verdict()).isEqualTo(Verdict.RAN);
+            assertThat(other.lastRecord().verdict()).isEqualTo(Verdict.RAN);
+            assertThat(other.peers.calls).isEmpty();
+        }
+
+        /** Guards against a stored answer that another customer's key finds. */
+        @Test
+        void isNotAnsweredFromAnotherKey() {
+            dispatched(entry.order(KEY)).answer("done");
+            Envelope reply = entry.ask(Envelope.newBuilder()
+                    .setOutcomeRequest(OutcomeRequest.newBuilder().setKeyDigest("other")));
+            assertThat(reply.getOutcomeReply().getFound()).isFalse();
+        }
+    }
+
+    @Nested
+    class Races {
+        /** Guards against two entries that both run an order. */
+        @Test
+        void areWonByTheFirstClaimInTheLog() {
+            EntryFixture other = EntryFixture.of("entry-b", log);
+            FakeSink one = entry.order(KEY);
+            FakeSink two = other.order(KEY);
+            other.services.claims().commit();
+            entry.claims();
+            other.claims();
+            assertThat(entry.peers.calls.size() + other.peers.calls.size()).isEqualTo(1);
+            assertThat(one.code()).isEqualTo(ErrorCode.ORDER_IN_PROGRESS);
+            other.peers.last().answer("done");
+            assertThat(two.body()).isEqualTo("done");
+        }
+    }
+
+    @Nested
+    class LogFailures {
+        /** Guards against a claim that is thought lost although the log has it. */
+        @Test
+        void ofTheResponseAreResolvedByReading() {
+            log.loseResponses = true;
+            FakeSink caller = entry.order(KEY);
+            dispatched(caller).answer("done");
+            assertThat(caller.body()).isEqualTo("done");
+        }
+
+        /** Guards against a dispatch after the caller was told that the order was not run. */
+        @Test
+        void ofTheRecordEndAsNotRunForGood() {
+            log.loseRecords = true;
+            FakeSink caller = entry.order(KEY);
+            entry.claims();
+            entry.advance(Duration.ofSeconds(6));
+            assertThat(caller.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+            assertThat(caller.verdict()).isEqualTo(Verdict.NOT_RUN);
+            log.loseRecords = false;
+            entry.claims();
+            assertThat(log.text()).contains("\"verdict\":\"NOT_RUN\"");
+            assertThat(entry.peers.calls).isEmpty();
+            FakeSink again = entry.order(KEY);
+            dispatched(again);
+        }
+
+        @Test
+        void areRefusedAtOnceWhenTheLogIsDown() {
+            log.down = true;
+            FakeSink caller = entry.order(KEY);
+            entry.claims();
+            assertThat(caller.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+            assertThat(caller.verdict()).isEqualTo(Verdict.NOT_RUN);
+            FakeSink read = entry.send(CallerRequest.Kind.SERVICE, "switch", "GET", "/state?x=1", Optional.empty(), "");
+            entry.peers.last().answer("state");
+            assertThat(read.body()).isEqualTo("state");
+            assertThat(entry.peers.last().dispatch.getPath()).isEqualTo("/state?x=1");
+        }
+
+        /** Guards against an order under a configuration that may have been superseded. */
+        @Test
+        void refuseOrdersWhileTheConfigurationIsUnconfirmed() {
+            entry.config.age = Duration.ofSeconds(6);
+            FakeSink caller = entry.order(KEY);
+            assertThat(caller.code()).isEqualTo(ErrorCode.CONFIG_UNAVAILABLE);
+            assertThat(caller.headers.orElseThrow().unconfirmedFor()).contains(Duration.ofSeconds(6));
+            entry.chat(false);
+            assertThat(entry.peers.calls).hasSize(1);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
@@ -0,0 +1,229 @@
+package org.masticcroft.entry.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.account.record.RequestRecord;
+import org.masticcroft.entry.EntryFixture;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.verdict.Verdict;
+import org.masticcroft.wire.generated.DispatchEnd;
+import org.masticcroft.wire.generated.Envelope;
+
+class AnswerTest {
+    private final EntryFixture entry = EntryFixture.create();
+
+    @Nested
+    class WholeAnswers {
+        @Test
+        void reachTheCallerWithTheirRecord() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            entry.peers.last().started("i1").answer("{}");
+            assertThat(caller.body()).isEqualTo("{}");
+            assertThat(caller.headers.orElseThrow().weights().orElseThrow().digest())
+                    .isEqualTo(EntryFixture.V1);
+            RequestRecord record = entry.lastRecord();
+            assertThat(record.verdict()).isEqualTo(Verdict.RAN);
+            assertThat(record.weightsDigest()).contains(EntryFixture.V1);
+            assertThat(record.attempts()).hasSize(1);
+            assertThat(record.attempts().get(0).incarnation()).contains("i1");
+            assertThat(entry.intake.active()).isZero();
+        }
+
+        /** Guards against a truncated answer that is passed on as complete. */
+        @Test
+        void thatAreTruncatedAreFetchedAgain() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.head("application/json").chunk("{\"a\":");
+            first.end(first.success().setByteCount(9));
+            assertThat(caller.answer).isEmpty();
+            assertThat(entry.peers.calls).hasSize(2);
+            entry.peers.last().answer("{\"a\":1}");
+            assertThat(caller.body()).isEqualTo("{\"a\":1}");
+        }
+
+        /** Guards against an answer whose bytes changed on the way. */
+        @Test
+        void withAnotherDigestAreRejected() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            DispatchEnd.Builder end = first.head("application/json").chunk("{}").success();
+            first.end(end.setAnswerSha256(com.google.protobuf.ByteString.copyFromUtf8("other")));
+            assertThat(caller.answer).isEmpty();
+            assertThat(entry.lastAttemptCodes()).containsExactly("ANSWER_INCOMPLETE");
+        }
+
+        /** Guards against an answer from other weights than those that the request named. */
+        @Test
+        void fromOtherWeightsAreRejected() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            DispatchEnd.Builder end = first.head("application/json").chunk("{}").success();
+            first.end(end.setWeightsDigest(EntryFixture.V2));
+            assertThat(caller.answer).isEmpty();
+            assertThat(entry.lastAttemptCodes()).containsExactly("WEIGHTS_MISMATCH");
+        }
+    }
+
+    @Nested
+    class Replies {
+        /** Guards against a reply to another request that reaches this caller. */
+        @Test
+        void thatAreCrossedAreRejected() {
+            EntryFixture.FakeSink one = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            EntryFixture.FakeSink two = entry.chat(false);
+            EntryFixture.FakeCall second = entry.peers.last();
+            first.head("application/json").chunk("{}").end(second.success());
+            assertThat(one.answer).isEmpty();
+            assertThat(first.closed).isTrue();
+            second.answer("{\"two\":2}");
+            assertThat(two.body()).isEqualTo("{\"two\":2}");
+            entry.peers.last().answer("{\"one\":1}");
+            assertThat(one.body()).isEqualTo("{\"one\":1}");
+        }
+
+        /** Guards against a doubled piece that lengthens the answer. */
+        @Test
+        void thatAreDuplicatedAreRejected() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.head("application/json").chunk("{}").chunk(0, "{}");
+            assertThat(first.sent).anyMatch(Envelope::hasCancel);
+            first.end(first.success());
+            assertThat(caller.answer).isEmpty();
+            entry.peers.last().answer("{}");
+            assertThat(caller.body()).isEqualTo("{}");
+        }
+
+        /** Guards against a late reply of an ended attempt that is mixed into the next one. */
+        @Test
+        void thatAreLateHaveNoEffect() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.fail(Verdict.MAY_HAVE_RUN, ErrorCode.UPSTREAM_FAILED);
+            first.answer("late");
+            assertThat(caller.answer).isEmpty();
+            entry.peers.last().answer("{}");
+            first.answer("later");
+            assertThat(caller.body()).isEqualTo("{}");
+            assertThat(entry.records).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Streams {
+        /** Guards against a caller that sees the end of a stream before the whole of it was verified. */
+        @Test
+        void endOnlyAfterTheCheck() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            EntryFixture.FakeCall call = entry.peers.last();
+            call.head("text/event-stream").tokens("a", "b").done();
+            assertThat(caller.stream).contains("\"a\"").doesNotContain("[DONE]");
+            call.end(call.success());
+            assertThat(caller.stream.toString()).endsWith("data: [DONE]\n\n");
+            assertThat(caller.ended).isTrue();
+            assertThat(entry.lastRecord().answerDigest())
+                    .contains(Preparation.sha256(caller.stream.toString().getBytes()));
+        }
+
+        /** Guards against lost or doubled tokens when a sidecar is lost in mid-stream. */
+        @Test
+        void resumeOnAnotherUpstreamWithTheSameWeights() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.head("text/event-stream").tokens("a", "b").lose(Verdict.MAY_HAVE_RUN);
+            EntryFixture.FakeCall second = entry.peers.last();
+            assertThat(second.port()).isNotEqualTo(first.port());
+            assertThat(second.dispatch.getResumeFrom()).isEqualTo(2);
+            assertThat(second.dispatch.getWeightsDigest()).isEqualTo(EntryFixture.V1);
+            second.head("text/event-stream").tokens("c").done().end(second.success());
+            assertThat(caller.stream.toString().replaceAll("\\W", "")).matches(".*contenta.*contentb.*contentc.*DONE");
+        }
+
+        /** Guards against an answer that mixes two sets of weights. */
+        @Test
+        void areNotResumedOnOtherWeights() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.head("text/event-stream").tokens("a");
+            entry.status(9001, "e1", java.util.List.of(EntryFixture.V2));
+            entry.status(9002, "e2", java.util.List.of(EntryFixture.V2));
+            entry.config.publish(EntryFixture.FakeConfig.fleet("v2", 0));
+            entry.advance(Duration.ofSeconds(3));
+            entry.poller.poll();
+            first.lose(Verdict.MAY_HAVE_RUN);
+            assertThat(entry.peers.calls).hasSize(1);
+            assertThat(caller.code()).isEqualTo(ErrorCode.NO_UPSTREAM);
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        /** Guards against a preempted request that starts over or fails. */
+        @Test
+        void thatArePreemptedContinueLater() {
+            entry.chat(true);
+            EntryFixture.FakeCall first = entry.peers.last();
+            first.head("text/event-stream").tokens("a").fail(Verdict.MAY_HAVE_RUN, ErrorCode.PREEMPTED);
+            assertThat(entry.peers.calls).hasSize(2);
+            assertThat(entry.peers.last().dispatch.getResumeFrom()).isEqualTo(1);
+        }
+
+        /** Guards against an engine that keeps working for a caller that went away. */
+        @Test
+        void areCancelledWhenTheCallerGoesAway() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            caller.gone = true;
+            EntryFixture.FakeCall call = entry.peers.last();
+            call.head("text/event-stream").tokens("a");
+            assertThat(call.sent).anyMatch(Envelope::hasCancel);
+            assertThat(entry.lastRecord().errorCode()).contains("CANCELLED");
+            assertThat(entry.intake.active()).isZero();
+        }
+    }
+
+    @Nested
+    class Verdicts {
+        /** Guards against "not run" for a request that an earlier attempt may have run. */
+        @Test
+        void keepTheUncertaintyOfEarlierAttempts() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            entry.peers.last().lose(Verdict.MAY_HAVE_RUN);
+            entry.peers.last().fail(Verdict.NOT_RUN, ErrorCode.DEADLINE_EXCEEDED);
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        /** Guards against an unsent request that is reported as uncertain. */
+        @Test
+        void areNotRunWhenNothingWasSent() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            entry.peers.last().lose(Verdict.NOT_RUN);
+            entry.peers.last().lose(Verdict.NOT_RUN);
+            while (caller.failure.isEmpty()) {
+                entry.peers.last().lose(Verdict.NOT_RUN);
+            }
+            assertThat(caller.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(entry.lastRecord().verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+
+        /** Guards against a sidecar that claims "not run" after it sent a part of the answer. */
+        @Test
+        void areUncertainAfterAPartOfTheAnswer() {
+            entry.chat(false);
+            entry.peers.last().head("application/json").fail(Verdict.NOT_RUN, ErrorCode.UPSTREAM_FAILED);
+            entry.run(EntryFixture.FakeCall::crash);
+            assertThat(entry.lastRecord().attempts().get(0).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        @Test
+        void areUncertainAtTheDeadlineOfARunningRequest() {
+            EntryFixture.FakeSink caller = entry.chat(false);
+            entry.advance(Duration.ofSeconds(31));
+            assertThat(caller.code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
+            assertThat(caller.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(entry.peers.last().sent).anyMatch(Envelope::hasCancel);
+        }
+    }
+}
