--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/BitmapExchange.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/BitmapExchange.java
@@ -83,7 +83,7 @@
         InetSocketAddress address = new InetSocketAddress(instance.host(), instance.peerPort());
         client.call(address, request, REPLY_TIMEOUT).whenComplete((reply, failure) -> {
             if (failure != null) {
-                peers.setBack(instance.id(), PeerTable.FAILURE_SET_BACK, "no-bitmap");
+                peers.unanswered(instance.id());
             } else if (reply.hasHaveReply()
                     && reply.getHaveReply().getWeightsDigest().equals(digest.value())) {
                 HaveReply have = reply.getHaveReply();
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
@@ -250,7 +250,9 @@
                 current.manifest.chunkCount(),
                 (BitSet) current.held.clone(),
                 excluded,
-                environment.members.regionMembers(digest),
+                environment.members.regionMembers(digest).stream()
+                        .filter(member -> !peers.isHidden(member))
+                        .toList(),
                 peers.view(current.startNanos),
                 environment.time.since(current.startNanos).toMillis(),
                 environment.time.since(current.lastProgressNanos).toMillis(),
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/PeerTable.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/PeerTable.java
@@ -25,6 +25,8 @@
     static final Duration BUSY_SET_BACK = Duration.ofMillis(150);
 
     private static final int MAX_DOUBLINGS = 5;
+    /** A single lost call may be chance; after two, the chunks of the peer do not count as present in the region. */
+    private static final int FAILURES_UNTIL_HIDDEN = 2;
 
     private final TimeSource time;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -48,6 +50,12 @@
         peer.sameRegion = sameRegion;
         peer.chunks = chunks;
         peer.freeUploadSlots = freeUploadSlots;
+        peer.unanswered = 0;
+    }
+
+    /** Notes that a peer did not answer the request for its bitmap. */
+    synchronized void unanswered(String instance) {
+        peers.computeIfAbsent(instance, key -> new Peer()).unanswered++;
     }
 
     synchronized Optional<Peer> find(String instance) {
@@ -55,7 +63,10 @@
     }
 
     synchronized void succeeded(String instance) {
-        find(instance).ifPresent(peer -> peer.failures = 0);
+        find(instance).ifPresent(peer -> {
+            peer.failures = 0;
+            peer.hidden = false;
+        });
     }
 
     synchronized void lacks(String instance, int chunk) {
@@ -71,24 +82,33 @@
     }
 
     synchronized void setBack(String instance, Duration first, String reason) {
-        find(instance).ifPresent(peer -> {
-            long pause = first.toNanos() << Math.min(peer.failures++, MAX_DOUBLINGS);
-            peer.avoidUntilNanos = time.nanoTime() + pause;
-            EventLog.warn(
-                    Event.SOURCE_SET_BACK,
-                    "source",
-                    instance,
-                    "reason",
-                    reason,
-                    "ms",
-                    Duration.ofNanos(pause).toMillis());
-        });
+        Peer peer = peers.computeIfAbsent(instance, key -> new Peer());
+        long pause = first.toNanos() << Math.min(peer.failures++, MAX_DOUBLINGS);
+        peer.avoidUntilNanos = time.nanoTime() + pause;
+        peer.hidden |= first == CORRUPT_SET_BACK || peer.failures >= FAILURES_UNTIL_HIDDEN;
+        EventLog.warn(
+                Event.SOURCE_SET_BACK,
+                "source",
+                instance,
+                "reason",
+                reason,
+                "ms",
+                Duration.ofNanos(pause).toMillis());
+    }
+
+    /** Returns whether a peer does not answer, or is set back for repeated failures or a corrupt chunk. */
+    synchronized boolean isHidden(String instance) {
+        return find(instance).filter(peer -> peer.isHidden(time.nanoTime())).isPresent();
     }
 
-    /** Returns the peers for a planner whose time scale starts at {@code startNanos}. */
+    /**
+     * Returns the peers for a planner whose time scale starts at {@code startNanos}. Hidden ones are left out, so that
+     * another source replaces what only they hold.
+     */
     synchronized List<FetchView.Peer> view(long startNanos) {
         return peers.entrySet().stream()
                 .filter(entry -> !entry.getValue().chunks.isEmpty())
+                .filter(entry -> !entry.getValue().isHidden(time.nanoTime()))
                 .sorted(Map.Entry.comparingByKey())
                 .map(entry -> entry.getValue().view(entry.getKey(), startNanos))
                 .toList();
@@ -102,6 +122,8 @@
         private int freeUploadSlots;
         private int failures;
         private long avoidUntilNanos = Long.MIN_VALUE;
+        private boolean hidden;
+        private int unanswered;
 
         InetSocketAddress address() {
             return address;
@@ -111,6 +133,10 @@
             return sameRegion;
         }
 
+        private boolean isHidden(long nowNanos) {
+            return unanswered >= FAILURES_UNTIL_HIDDEN || (hidden && nowNanos - avoidUntilNanos < 0);
+        }
+
         private FetchView.Peer view(String instance, long startNanos) {
             long until = avoidUntilNanos == Long.MIN_VALUE
                     ? 0
--- /dev/null
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
@@ -0,0 +1,406 @@
+package org.masticcroft.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayInputStream;
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.account.record.DispatchRecord;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.platform.engine.EngineRequest;
+import org.masticcroft.sidecar.dispatch.DispatchJournal;
+import org.masticcroft.sidecar.dispatch.Dispatcher;
+import org.masticcroft.sidecar.dispatch.EngineGateway;
+import org.masticcroft.sidecar.target.EngineMonitor;
+import org.masticcroft.sidecar.target.WeightsUse;
+import org.masticcroft.wire.PeerResponder;
+import org.masticcroft.wire.generated.Claim;
+import org.masticcroft.wire.generated.Dispatch;
+import org.masticcroft.wire.generated.DispatchEnd;
+import org.masticcroft.wire.generated.Envelope;
+import org.masticcroft.wire.generated.Verdict;
+
+class DispatcherTest {
+    private static final WeightsDigest DIGEST =
+            Weights.generate("v1", 2).manifest().digest();
+    private static final WeightsDigest OTHER =
+            Weights.generate("v2", 2).manifest().digest();
+
+    private final Fixture fixture = new Fixture();
+    private final EngineMonitor monitor = EngineMonitor.of(fixture.engine, fixture.time);
+    private boolean draining;
+    private final Dispatcher dispatcher = new Dispatcher(
+            "e-1",
+            EngineGateway.of(fixture.engine, monitor, WeightsUse.empty()),
+            () -> draining,
+            new Dispatcher.Bounds(8, 1),
+            DispatchJournal.of("e-1", fixture.account, fixture.time, fixture.metrics),
+            new Dispatcher.Executors(Runnable::run, Runnable::run),
+            fixture.time);
+
+    @BeforeEach
+    void load() {
+        fixture.engine.loadDirectly(DIGEST);
+        monitor.refresh();
+    }
+
+    private Dispatch.Builder request(String id) {
+        return Dispatch.newBuilder()
+                .setRequestId(id)
+                .setAttempt(1)
+                .setUpstream("e-1")
+                .setMethod("POST")
+                .setPath("/v1/chat/completions")
+                .setBody(ByteString.copyFromUtf8("{}"))
+                .setStream(true)
+                .setWeightsDigest(DIGEST.value())
+                .setRankOrder(2)
+                .setRemainingMs(30_000)
+                .setIdempotent(true);
+    }
+
+    private Replies run(Dispatch.Builder dispatch) {
+        Replies replies = new Replies();
+        dispatcher.dispatch(dispatch.build(), replies);
+        return replies;
+    }
+
+    private void assertRefused(Replies replies, ErrorCode code) {
+        assertThat(replies.end().getVerdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(replies.end().getErrorCode()).isEqualTo(code.name());
+        assertThat(fixture.engine.requests).isEmpty();
+    }
+
+    private Dispatch.Builder order(String id, long dispatchByOffsetMs) {
+        long now = fixture.time.now().toEpochMilli();
+        return request(id)
+                .setIdempotent(false)
+                .setClaim(Claim.newBuilder().setDispatchByEpochMs(now + dispatchByOffsetMs));
+    }
+
+    /** Serves {@code before}, then runs {@code hook}, then serves {@code after}; null breaks the connection. */
+    private static InputStream interrupted(String before, Runnable hook, String after) {
+        InputStream second = new FilterInputStream(FakeEngine.stream(after == null ? "" : after)) {
+            private boolean ran;
+
+            @Override
+            public int read(byte[] buffer, int offset, int length) throws IOException {
+                if (!ran) {
+                    ran = true;
+                    hook.run();
+                }
+                if (after == null) {
+                    throw new IOException("connection reset");
+                }
+                return super.read(buffer, offset, length);
+            }
+        };
+        return new SequenceInputStream(new ByteArrayInputStream(before.getBytes()), second);
+    }
+
+    @Nested
+    class Answers {
+        /** Guards against responses that the entry cannot check. */
+        @Test
+        void passesOnCompleteStreamWithItsDigest() {
+            Replies replies = run(request("r-1"));
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.RAN);
+            assertThat(replies.end().getErrorCode()).isEmpty();
+            assertThat(replies.text()).isEqualTo(FakeEngine.wholeStream(DIGEST.value()));
+            assertThat(replies.end().getByteCount()).isEqualTo(replies.text().length());
+            assertThat(replies.end().getCompletionTokens()).isEqualTo(2);
+            assertThat(fixture.records).singleElement().isInstanceOf(DispatchRecord.class);
+        }
+
+        /** Guards against a stream that breaks off and is taken for a short answer. */
+        @Test
+        void truncatedStreamIsNotSuccess() {
+            fixture.engine.answer = request -> FakeEngine.stream(FakeEngine.tokens(3) + "data: {\"cho");
+            Replies replies = run(request("r-1"));
+            assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.ANSWER_INCOMPLETE.name());
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(replies.text()).isEqualTo(FakeEngine.tokens(3));
+        }
+
+        /** Guards against a truncated whole response. */
+        @Test
+        void truncatedWholeResponseIsNotPassedOn() {
+            fixture.engine.answer = request -> FakeEngine.stream("{\"choices\":[{\"mess");
+            Replies replies = run(request("r-1").setStream(false));
+            assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.ANSWER_INCOMPLETE.name());
+            assertThat(replies.messages).noneMatch(Envelope::hasDispatchHead);
+        }
+
+        /** Guards against serving a caller from other weights than it was promised. */
+        @Test
+        void otherDigestIsNotSuccess() {
+            fixture.engine.answer = request -> FakeEngine.stream(FakeEngine.wholeStream(OTHER.value()));
+            Replies replies = run(request("r-1"));
+            assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.WEIGHTS_MISMATCH.name());
+            assertThat(replies.text()).doesNotContain("[DONE]", OTHER.value());
+        }
+
+        /** Guards against a cancelled request whose stream the engine ends like a complete one. */
+        @Test
+        void streamCancelledAtEngineIsNotSuccess() {
+            fixture.engine.answer = request ->
+                    FakeEngine.stream(FakeEngine.wholeStream(DIGEST.value()).replace("length", "cancelled"));
+            assertThat(run(request("r-1")).end().getErrorCode()).isEqualTo(ErrorCode.CANCELLED.name());
+        }
+
+        /** Guards against an engine that restarted between the check and the answer. */
+        @Test
+        void otherIncarnationIsNotSuccess() {
+            fixture.engine.restart();
+            assertThat(run(request("r-1")).end().getErrorCode()).isEqualTo(ErrorCode.WEIGHTS_MISMATCH.name());
+        }
+
+        /** Guards against a crash that is reported like a broken connection, so that poison requests go unnoticed. */
+        @Test
+        void crashOfTheEngineIsReported() {
+            fixture.engine.answer =
+                    request -> interrupted(FakeEngine.tokens(1), () -> fixture.engine.down = true, null);
+            Replies replies = run(request("r-1"));
+            assertThat(replies.end().getUpstreamCrashed()).isTrue();
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        /** Guards against blaming a request for a connection that broke while the engine lives. */
+        @Test
+        void brokenConnectionAloneIsNoCrash() {
+            fixture.engine.answer = request -> interrupted(FakeEngine.tokens(1), () -> {}, null);
+            assertThat(run(request("r-1")).end().getUpstreamCrashed()).isFalse();
+        }
+    }
+
+    @Nested
+    class Refusals {
+        /** Guards against an order that runs after its claim may have been given up. */
+        @Test
+        void orderPastItsDispatchByTime() {
+            assertRefused(run(order("r-1", 0)), ErrorCode.CLAIM_LAPSED);
+        }
+
+        @Test
+        void orderWithoutClaim() {
+            assertRefused(run(request("r-1").setIdempotent(false)), ErrorCode.IDEMPOTENCY_KEY_REQUIRED);
+        }
+
+        @Test
+        void weightsThatAreNotLoaded() {
+            assertRefused(run(request("r-1").setWeightsDigest(OTHER.value())), ErrorCode.WEIGHTS_NOT_LOADED);
+        }
+
+        @Test
+        void newWorkWhileDraining() {
+            draining = true;
+            assertRefused(run(request("r-1")), ErrorCode.DRAINING);
+        }
+
+        @Test
+        void requestWithoutTimeLeft() {
+            assertRefused(run(request("r-1").setRemainingMs(0)), ErrorCode.DEADLINE_EXCEEDED);
+        }
+    }
+
+    @Nested
+    class Duplicates {
+        /** Guards against running an order twice because a message arrives twice. */
+        @Test
+        void secondDispatchOfSameAttemptIsNotRun() {
+            run(order("r-1", 10_000));
+            Replies second = run(order("r-1", 10_000));
+            assertThat(fixture.engine.requests).hasSize(1);
+            assertThat(second.end().getVerdict()).isEqualTo(Verdict.RAN);
+            assertThat(second.end().getErrorCode()).isEqualTo(ErrorCode.ALREADY_RUN.name());
+        }
+
+        /** Guards against calling a request not run that is still running. */
+        @Test
+        void duplicateOfRunningRequestMayHaveRun() {
+            List<Replies> second = new ArrayList<>();
+            fixture.engine.answer = request ->
+                    interrupted("", () -> second.add(run(request("r-1"))), FakeEngine.wholeStream(DIGEST.value()));
+            run(request("r-1"));
+            assertThat(second.get(0).end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(fixture.engine.requests).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Load {
+        /** Runs {@code inside} while two requests occupy both slots. */
+        private List<Replies> whileFull(Dispatch.Builder first, Dispatch.Builder second, Runnable inside) {
+            List<Replies> replies = new ArrayList<>();
+            List<Runnable> hooks = new ArrayList<>(List.of(() -> replies.add(run(second)), inside));
+            String rest = FakeEngine.wholeStream(DIGEST.value())
+                    .substring(FakeEngine.tokens(1).length());
+            fixture.engine.answer = request -> interrupted(
+                    FakeEngine.tokens(1), hooks.isEmpty() ? () -> {} : hooks.remove(0), breaksIfStopped(request, rest));
+            replies.add(run(first));
+            return replies;
+        }
+
+        private String breaksIfStopped(EngineRequest request, String rest) {
+            return request.requestId().equals("batch") && preemptionExpected ? null : rest;
+        }
+
+        private boolean preemptionExpected;
+
+        /** Guards against unbounded work on a full engine. */
+        @Test
+        void refusesWhenSlotsAndQueueAreFull() {
+            List<Replies> late = new ArrayList<>();
+            whileFull(request("r-1"), request("r-2"), () -> {
+                late.add(run(request("r-3")));
+                late.add(run(request("r-4")));
+            });
+            assertThat(late.get(0).end().getErrorCode()).isEmpty();
+            assertThat(late.get(1).end().getVerdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(late.get(1).end().getErrorCode()).isEqualTo(ErrorCode.BUSY.name());
+        }
+
+        /** Guards against urgent work that waits behind drafts. */
+        @Test
+        void urgentRequestPreemptsLeastUrgentOne() {
+            preemptionExpected = true;
+            Replies urgent = new Replies();
+            List<Replies> running = whileFull(
+                    request("r-1").setRankOrder(1),
+                    request("batch").setRankOrder(2),
+                    () -> dispatcher.dispatch(request("urgent").setRankOrder(0).build(), urgent));
+            assertThat(fixture.engine.cancelled).containsExactly("batch", "abort batch");
+            assertThat(running.get(0).end().getErrorCode()).isEqualTo(ErrorCode.PREEMPTED.name());
+            assertThat(running.get(0).text()).isEqualTo(FakeEngine.tokens(1));
+            assertThat(urgent.end().getErrorCode()).isEmpty();
+        }
+
+        /** Guards against an order that is interrupted although it must not run again. */
+        @Test
+        void ordersAreNeverPreempted() {
+            whileFull(
+                    order("r-1", 10_000),
+                    order("r-2", 10_000),
+                    () -> run(request("urgent").setRankOrder(0)));
+            assertThat(fixture.engine.cancelled).isEmpty();
+        }
+
+        /** Guards against a waiting order that starts after its claim may have been given up. */
+        @Test
+        void claimIsCheckedAgainWhenTheSlotIsFree() {
+            List<Replies> late = new ArrayList<>();
+            whileFull(request("r-1"), request("r-2"), () -> {
+                late.add(run(order("r-3", 5_000)));
+                fixture.time.advance(Duration.ofSeconds(6));
+            });
+            assertThat(late.get(0).end().getErrorCode()).isEqualTo(ErrorCode.CLAIM_LAPSED.name());
+            assertThat(late.get(0).end().getVerdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+    }
+
+    @Nested
+    class Endings {
+        /** Guards against work that goes on for an entry that is gone. */
+        @Test
+        void lostEntryCancelsIdempotentWork() {
+            Replies replies = new Replies();
+            fixture.engine.answer =
+                    request -> interrupted(FakeEngine.tokens(1), () -> dispatcher.cancel(replies), null);
+            dispatcher.dispatch(request("r-1").build(), replies);
+            assertThat(fixture.engine.cancelled).contains("r-1");
+            assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.CANCELLED.name());
+        }
+
+        /** Guards against an order that is cut off half-way because its entry is gone. */
+        @Test
+        void lostEntryDoesNotInterruptOrder() {
+            Replies replies = new Replies();
+            fixture.engine.answer = request ->
+                    interrupted("", () -> dispatcher.cancel(replies), FakeEngine.wholeStream(DIGEST.value()));
+            dispatcher.dispatch(order("r-1", 10_000).build(), replies);
+            assertThat(fixture.engine.cancelled).isEmpty();
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.RAN);
+        }
+
+        /** Guards against a planned stop that interrupts a running request. */
+        @Test
+        void runningRequestEndsWhileDraining() {
+            fixture.engine.answer =
+                    request -> interrupted("", () -> draining = true, FakeEngine.wholeStream(DIGEST.value()));
+            DispatchEnd end = run(request("r-1")).end();
+            assertThat(end.getErrorCode()).isEmpty();
+            assertThat(end.getLoad().getDraining()).isTrue();
+            assertThat(dispatcher.unfinished()).isZero();
+        }
+
+        /** Guards against a request at the drain deadline that is told it was not run. */
+        @Test
+        void closeEndsRunningRequestAsMayHaveRun() {
+            fixture.engine.answer = request -> interrupted("", dispatcher::close, null);
+            DispatchEnd end = run(request("r-1")).end();
+            assertThat(end.getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(end.getErrorCode()).isEqualTo(ErrorCode.DRAINING.name());
+        }
+
+        /** Guards against requests that run on after their deadline. */
+        @Test
+        void deadlineCancelsRunningRequest() {
+            fixture.engine.answer = request -> interrupted(
+                    "",
+                    () -> {
+                        fixture.time.advance(Duration.ofSeconds(31));
+                        dispatcher.sweep();
+                    },
+                    null);
+            assertThat(run(request("r-1")).end().getErrorCode()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED.name());
+        }
+    }
+
+    /** Collects the replies of one call. */
+    private static final class Replies implements PeerResponder {
+        private final List<Envelope> messages = new ArrayList<>();
+
+        private DispatchEnd end() {
+            assertThat(messages.stream().filter(Envelope::hasDispatchEnd)).hasSize(1);
+            return messages.get(messages.size() - 1).getDispatchEnd();
+        }
+
+        private String text() {
+            return messages.stream()
+                    .filter(Envelope::hasDispatchChunk)
+                    .map(message -> message.getDispatchChunk().getData().toStringUtf8())
+                    .collect(Collectors.joining());
+        }
+
+        @Override
+        public void send(Envelope.Builder reply) {
+            messages.add(reply.build());
+        }
+
+        @Override
+        public void finish(Envelope.Builder reply) {
+            messages.add(reply.build());
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+    }
+}
