--- a/account/src/main/java/org/masticcroft/account/export/ExportSink.java
+++ b/account/src/main/java/org/masticcroft/account/export/ExportSink.java
@@ -75,6 +75,7 @@
                 new ExportLine.End(nextOffset, batches, records, HexFormat.of().formatHex(digest.digest())));
         line(end);
         writeFrame();
+        file.write(ExportTrailer.of(part));
         file.close();
         Files.move(part, target, StandardCopyOption.REPLACE_EXISTING);
         Files.deleteIfExists(stateFile);
--- a/account/src/main/java/org/masticcroft/account/key/SigningKey.java
+++ b/account/src/main/java/org/masticcroft/account/key/SigningKey.java
@@ -45,20 +45,21 @@
     /** Generates a new key pair. */
     public static Generated generate() {
         try {
-            KeyPair pair =
-                    KeyPairGenerator.getInstance(VerificationKeys.ALGORITHM).generateKeyPair();
-            String publicKey =
-                    Base64.getEncoder().encodeToString(pair.getPublic().getEncoded());
-            String id = VerificationKeys.idOf(pair.getPublic());
-            String secret = id
-                    + SEPARATOR
-                    + Base64.getEncoder().encodeToString(pair.getPrivate().getEncoded());
-            return new Generated(id, secret, publicKey);
+            return textOf(
+                    KeyPairGenerator.getInstance(VerificationKeys.ALGORITHM).generateKeyPair());
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("this Java runtime has no Ed25519 support", e);
         }
     }
 
+    /** Returns the text form of a key pair. */
+    public static Generated textOf(KeyPair pair) {
+        String id = VerificationKeys.idOf(pair.getPublic());
+        Base64.Encoder base64 = Base64.getEncoder();
+        String secret = id + SEPARATOR + base64.encodeToString(pair.getPrivate().getEncoded());
+        return new Generated(id, secret, base64.encodeToString(pair.getPublic().getEncoded()));
+    }
+
     public String id() {
         return id;
     }
--- a/account/src/main/java/org/masticcroft/account/report/HtmlReport.java
+++ b/account/src/main/java/org/masticcroft/account/report/HtmlReport.java
@@ -57,7 +57,10 @@
         appendTable(out, report);
         appendPlot(out, "Requests by rank", byRank(report));
         appendPlot(out, "Requests by hour", byHour(report));
-        appendList(out, "Gaps", verification.gaps().stream().map(Verification.Gap::describe).toList());
+        appendList(
+                out,
+                "Gaps",
+                verification.gaps().stream().map(Verification.Gap::describe).toList());
         appendList(out, "Requests known from sidecars only", report.withoutEntryRecord());
         return out.append("</body></html>\n").toString();
     }
--- a/account/src/main/java/org/masticcroft/account/verify/AccountVerifier.java
+++ b/account/src/main/java/org/masticcroft/account/verify/AccountVerifier.java
@@ -9,6 +9,7 @@
 import org.masticcroft.account.batch.BatchHeader;
 import org.masticcroft.account.export.ExportLine;
 import org.masticcroft.account.export.ExportReader;
+import org.masticcroft.account.export.ExportTrailer;
 import org.masticcroft.account.key.VerificationKeys;
 import org.masticcroft.account.verify.Verification.Finding;
 import org.masticcroft.account.verify.Verification.Gap;
@@ -36,6 +37,9 @@
     public static Verification verify(Path file, VerificationKeys keys) {
         AccountVerifier verifier = new AccountVerifier(Objects.requireNonNull(keys, "keys"));
         try {
+            if (!ExportTrailer.isIntact(file)) {
+                verifier.find(Kind.FILE_DIGEST, "the trailer does not belong to the file");
+            }
             ExportReader.of(file).read(verifier);
         } catch (IOException e) {
             verifier.find(Kind.UNREADABLE, String.valueOf(e.getMessage()));
--- a/account/src/main/java/org/masticcroft/account/verify/Verification.java
+++ b/account/src/main/java/org/masticcroft/account/verify/Verification.java
@@ -33,6 +33,8 @@
 
     /** Kind of finding. */
     public enum Kind {
+        /** The bytes of the file differ from the digest in its trailer. */
+        FILE_DIGEST,
         /** The file cannot be read to its end. */
         UNREADABLE,
         /** A line is not part of the format. */
--- a/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
+++ b/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
@@ -37,7 +37,7 @@
 
     private final ManualTimeSource time = ManualTimeSource.of(Samples.START);
     private final InMemoryLogService log = InMemoryLogService.of(time);
-    private final Samples.Keys keys = Samples.Keys.generate();
+    private final Samples.Keys keys = Samples.Keys.of(1);
 
     @TempDir
     private Path folder;
@@ -253,7 +253,7 @@
         /** Guards against accounts that stop verifying when a writer gets a new key. */
         @Test
         void verifiesWithBothPublicKeys() throws IOException {
-            Samples.Keys rotated = Samples.Keys.generate();
+            Samples.Keys rotated = Samples.Keys.of(2);
             write(writer, 0, 3);
             writer.close();
             LogAccountWriter successor = newWriter("entry-1/b", rotated, 1 << 20);
--- a/account/src/test/java/org/masticcroft/account/MutationTest.java
+++ b/account/src/test/java/org/masticcroft/account/MutationTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.masticcroft.account.export.AccountExport;
+import org.masticcroft.account.export.ExportTrailer;
 import org.masticcroft.account.verify.AccountVerifier;
 import org.masticcroft.account.writer.AccountSettings;
 import org.masticcroft.account.writer.LogAccountWriter;
@@ -28,7 +30,7 @@
     private static final long SEED = 20261204;
     private static final int MUTATIONS = 1200;
 
-    private final Samples.Keys keys = Samples.Keys.generate();
+    private final Samples.Keys keys = Samples.Keys.of(1);
 
     @TempDir
     private Path folder;
@@ -54,6 +56,14 @@
                 .writeTo(file);
     }
 
+    /** Returns whether content verifies after a forger has added the trailer that belongs to it. */
+    private boolean isAuthenticWithTrailer(byte[] frames) throws IOException {
+        Path forged = folder.resolve("forged");
+        Files.write(forged, frames);
+        Files.write(forged, ExportTrailer.of(forged), StandardOpenOption.APPEND);
+        return AccountVerifier.verify(forged, keys.verification()).isAuthentic();
+    }
+
     private boolean isAuthentic(byte[] content) throws IOException {
         Path changed = folder.resolve("changed");
         Files.write(changed, content);
@@ -78,13 +88,13 @@
         @Test
         void isAlwaysFound() throws IOException {
             List<String> original = lines();
-            assertThat(isAuthentic(compressed(original))).isTrue();
+            assertThat(isAuthenticWithTrailer(compressed(original))).isTrue();
             UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED);
             for (int i = 0; i < MUTATIONS; i++) {
                 List<String> changed = new ArrayList<>(original);
                 String mutation = mutate(changed, random, i % 5);
                 if (!changed.equals(original)) {
-                    assertThat(isAuthentic(compressed(changed)))
+                    assertThat(isAuthenticWithTrailer(compressed(changed)))
                             .as("seed %d, mutation %d: %s", SEED, i, mutation)
                             .isFalse();
                 }
@@ -122,6 +132,7 @@
         @Test
         void isAlwaysFound() throws IOException {
             byte[] original = Files.readAllBytes(file);
+            assertThat(isAuthentic(original)).isTrue();
             UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + 1);
             for (int i = 0; i < MUTATIONS; i++) {
                 byte[] changed = original.clone();
--- a/account/src/test/java/org/masticcroft/account/Samples.java
+++ b/account/src/test/java/org/masticcroft/account/Samples.java
@@ -1,5 +1,9 @@
 package org.masticcroft.account;
 
+import java.security.GeneralSecurityException;
+import java.security.KeyPairGenerator;
+import java.security.SecureRandom;
+import java.security.spec.NamedParameterSpec;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -66,9 +70,18 @@
 
     /** A key pair in the forms that a writer and an auditor use. */
     public record Keys(SigningKey signing, String publicLine) {
-        public static Keys generate() {
-            SigningKey.Generated generated = SigningKey.generate();
-            return new Keys(SigningKey.parse(generated.secret()), generated.id() + " " + generated.publicKey());
+        /** Returns the same key pair for the same seed, so that every run checks the same bytes. */
+        public static Keys of(long seed) {
+            try {
+                SecureRandom random = SecureRandom.getInstance("SHA1PRNG");
+                random.setSeed(seed);
+                KeyPairGenerator generator = KeyPairGenerator.getInstance("Ed25519");
+                generator.initialize(NamedParameterSpec.ED25519, random);
+                SigningKey.Generated generated = SigningKey.textOf(generator.generateKeyPair());
+                return new Keys(SigningKey.parse(generated.secret()), generated.id() + " " + generated.publicKey());
+            } catch (GeneralSecurityException e) {
+                throw new IllegalStateException(e);
+            }
         }
 
         public VerificationKeys verification() {
--- a/cli/src/main/java/org/masticcroft/cli/AccountExportCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountExportCommand.java
@@ -56,9 +56,9 @@
 
     @Override
     public Integer call() throws IOException {
-        try (Platform platform = settings.open(context, new SettingProblems())) {
-            AccountExport.Progress written = AccountExport.of(platform.log(), from, to, this::report)
-                    .writeTo(file);
+        try (Platform platform = settings.open(context)) {
+            AccountExport.Progress written =
+                    AccountExport.of(platform.log(), from, to, this::report).writeTo(file);
             output.print(
                     written,
                     out -> out.println(
--- a/cli/src/main/java/org/masticcroft/cli/AccountVerifyCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountVerifyCommand.java
@@ -12,7 +12,8 @@
 /** Verifies an exported file. */
 @Command(
         name = "verify",
-        description = "Checks signatures, hash chains, numbering and completeness of an exported file; needs no platform.",
+        description =
+                "Checks signatures, hash chains, numbering and completeness of an exported file; needs no platform.",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
             "0:the file is authentic; its gaps are listed",
--- a/cli/src/main/java/org/masticcroft/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/ExplainCommand.java
@@ -15,8 +15,9 @@
 /** Explains one request. */
 @Command(
         name = "explain",
-        description = "Prints which model and version served a request, on which upstream, under which configuration and"
-                + " why that one.",
+        description =
+                "Prints which model and version served a request, on which upstream, under which configuration and"
+                        + " why that one.",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
             "0:found",
@@ -33,10 +34,7 @@
     @Mixin
     private OutputOption output;
 
-    @Option(
-            names = "--file",
-            paramLabel = "FILE",
-            description = "Search this exported file instead of the log.")
+    @Option(names = "--file", paramLabel = "FILE", description = "Search this exported file instead of the log.")
     private Path file;
 
     @Parameters(paramLabel = "REQUEST-ID", description = "The value of X-Masticcroft-Request-Id.")
@@ -59,7 +57,7 @@
     }
 
     private RequestTrail searchLog() {
-        try (Platform platform = settings.open(context, new SettingProblems())) {
+        try (Platform platform = settings.open(context)) {
             return RequestSearch.inLog(platform.log(), requestId);
         }
     }
--- a/cli/src/main/java/org/masticcroft/cli/MasticcroftCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/MasticcroftCommand.java
@@ -20,7 +20,9 @@
             StatusCommand.class,
             DrainCommand.class,
             UndrainCommand.class,
-            HashKeyCommand.class
+            HashKeyCommand.class,
+            ExplainCommand.class,
+            AccountCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,17 +19,14 @@
 
 region_for() { case $1 in *-[1-4]) echo cape-west ;; *) echo cape-south ;; esac; }
 
-# Prints how many engines report the given digest as ready.
-replicas_ready() {
-  masticcroft status --output json 2>/dev/null |
-    jq --arg d "$1" '[.instances[]? | select([.ready[]?.weightsDigest, .ready[]?.weights_digest] | index($d))] | length'
-}
+# Prints how many engines report the given model and version as ready.
+replicas_ready() { masticcroft status --output json 2>/dev/null | grep -c "\"$1\""; }
 
-# follow_rollout DIGEST LABEL: prints replicas ready against time until all are.
+# follow_rollout MODEL/VERSION LABEL: prints replicas ready against time until all are.
 follow_rollout() {
-  local digest=$1 label=$2 started=$SECONDS count=0 last=-1
+  local model=$1 label=$2 started=$SECONDS count=0 last=-1
   while [ "$count" -lt ${#engines[@]} ]; do
-    count=$(replicas_ready "$digest") && count=${count:-0}
+    count=$(replicas_ready "$model")
     [ "$count" != "$last" ] && printf '%s %3d s  %d/%d\n' "$label" $((SECONDS - started)) "$count" ${#engines[@]} >>"$run/rollout.txt"
     last=$count
     [ $((SECONDS - started)) -lt 70 ] || die "$label: only $count of ${#engines[@]} replicas after 70 s"
@@ -38,7 +35,9 @@
   say "$label: all replicas ready after $((SECONDS - started)) s"
 }
 
-drawn() { curl -fsS "$(url "$1")/stats" | jq '.bytes // .bytesServed // .bytes_served // 0'; }
+drawn() { curl -fsS "$(url "$1")/stats" | grep -oE '"bytes" *: *[0-9]+' | grep -oE '[0-9]+' | head -1; }
+
+copies() { awk -v bytes="$1" -v size="$model_bytes" 'BEGIN { printf "%.2f", bytes / size }'; }
 
 build
 say "starting the fleet in $run"
@@ -60,7 +59,7 @@
 done
 say "publishing version v1"
 masticcroft publish "$run/config" 2>>"$run/publish.log" >&2 || die "publish v1"
-follow_rollout "$digest_v1" v1
+follow_rollout harbour/v1 v1
 drawn_v1=$(($(drawn store) + $(drawn origin)))
 for name in "${entries[@]}"; do await 20 "$name is ready" ready "$name"; done
 await 20 "the switching service is ready" ready sidecar-switch
@@ -77,14 +76,14 @@
   assistant: {version: v2}
 YAML
 masticcroft publish "$run/config" 2>>"$run/publish.log" >&2 || die "publish v2"
-follow_rollout "$digest_v2" v2
+follow_rollout harbour/v2 v2
 drawn_v2=$(($(drawn store) + $(drawn origin) - drawn_v1))
 wait "$load_pid" || die "load driver: $(tail -3 "$run/load.err")"
 unset "pid_of[load]"
 
 sleep 3 # sidecars append their evidence every 5 s, entries every second
-request=$(XX
-  "$run/history.jsonl" 2>/dev/null | tail -1)
+request=$(grep '"type":"outcome"' "$run/history.jsonl" | grep '"status":200' | grep '"weights_digest":"sha' |
+  sed -n 's/.*"request_id":"\([^"]*\)".*/\1/p' | tail -1)
 sleep 3
 "$home/bin/harness" check --history "$run/history.jsonl" --ledger "$(url ledger)/entries" >"$run/check-history.txt" 2>&1
 check=$?
@@ -98,7 +97,7 @@
 echo "replicas ready against time"
 sed 's/^/  /' "$run/rollout.txt"
 printf 'copies drawn from weight store and origin: v1 %s, v2 %s\n' \
-  "$(jq -n "$drawn_v1/$model_bytes*100|round/100")" "$(jq -n "$drawn_v2/$model_bytes*100|round/100")"
+  "$(copies $drawn_v1)" "$(copies $drawn_v2)"
 echo "requests"
 sed 's/^/  /' "$run/load.txt"
 echo "history check"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -11,14 +11,24 @@
 
 die() { say "FAILED: $*"; exit 1; }
 
-# Ends every process of this run, first gracefully, then after 10 s by force.
-fleet_stop() {
-  local name deadline=$((SECONDS + 10))
-  for name in "${!pid_of[@]}"; do kill -CONT "${pid_of[$name]}" 2>/dev/null; kill -TERM "${pid_of[$name]}" 2>/dev/null; done
-  for name in "${!pid_of[@]}"; do
+# end_processes SECONDS NAME...: SIGTERM, and SIGKILL for what is left after the given time.
+end_processes() {
+  local name deadline=$((SECONDS + $1)); shift
+  for name in "$@"; do kill -CONT "${pid_of[$name]}" 2>/dev/null; kill -TERM "${pid_of[$name]}" 2>/dev/null; done
+  for name in "$@"; do
     while kill -0 "${pid_of[$name]}" 2>/dev/null && [ $SECONDS -lt $deadline ]; do sleep 0.1; done
     kill -KILL "${pid_of[$name]}" 2>/dev/null
+    unset "pid_of[$name]"
   done
+}
+
+# Ends every process of this run: entries and sidecars first, because they append their last records to the log.
+fleet_stop() {
+  local name
+  local -a services=()
+  for name in "${!pid_of[@]}"; do [ -n "${role_of[$name]:-}" ] && services+=("$name"); done
+  [ ${#services[@]} -eq 0 ] || end_processes 15 "${services[@]}"
+  [ ${#pid_of[@]} -eq 0 ] || end_processes 5 "${!pid_of[@]}"
   wait 2>/dev/null
 }
 
