Test the command line against a fleet in memory

Ruled out: real time in these tests; a command's pauses advance the clock and let the instances read the log.

--- a/cli/src/main/java/org/masticcroft/cli/DrainedSet.java
+++ b/cli/src/main/java/org/masticcroft/cli/DrainedSet.java
@@ -1,5 +1,6 @@
 package org.masticcroft.cli;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedSet;
@@ -38,7 +39,9 @@
     }
 
     private int publish(CliContext context, String upstream, boolean force, Consumer<SortedSet<String>> change) {
-        try (Platform platform = settings.open(context)) {
+        SettingProblems problems = new SettingProblems();
+        Duration limit = wait.duration(problems);
+        try (Platform platform = settings.open(context, problems)) {
             PublishResult result = Publisher.of(platform, context.time(), context.pause(), output::progress)
                     .publish(
                             author.author(),
@@ -50,7 +53,7 @@
                                 change.accept(names);
                                 return inForce.withDrained(names);
                             },
-                            wait.duration());
+                            limit);
             return PublishReport.print(output, result);
         }
     }
--- a/cli/src/main/java/org/masticcroft/cli/FleetTable.java
+++ b/cli/src/main/java/org/masticcroft/cli/FleetTable.java
@@ -15,7 +15,15 @@
 final class FleetTable {
     private static final int GAP = 2;
     private static final List<String> HEADINGS = List.of(
-            "INSTANCE", "REGION", "STATE", "VERSION", "CONFIRMED", "UPSTREAM", "LOAD", "MODELS READY", "CHUNKS");
+            "INSTANCE",
+            "REGION",
+            "STATE",
+            "VERSION",
+            "CONFIRMED",
+            "UPSTREAM",
+            "RUN/SLOTS+QUEUE",
+            "MODELS READY",
+            "CHUNKS");
 
     private FleetTable() {}
 
@@ -36,7 +44,7 @@
                 row.answered() ? String.valueOf(row.version()) : "-",
                 confirmed(row),
                 row.upstream().isEmpty() ? "-" : row.upstream() + (row.draining() ? " (draining)" : ""),
-                row.slots() == 0 ? "-" : row.inFlight() + "/" + row.slots() + " +" + row.queued(),
+                row.slots() == 0 ? "-" : row.inFlight() + "/" + row.slots() + "+" + row.queued(),
                 models(row),
                 row.chunksTotal() == 0 ? "-" : row.chunksHeld() + "/" + row.chunksTotal());
     }
--- a/cli/src/main/java/org/masticcroft/cli/PlatformSettings.java
+++ b/cli/src/main/java/org/masticcroft/cli/PlatformSettings.java
@@ -9,6 +9,8 @@
 
 /** The settings of commands that use the platform, for use as a mixin. */
 public final class PlatformSettings {
+    private static final String DEFAULT_LOG_URL = "http://127.0.0.1:7100";
+    private static final String DEFAULT_INSTANCES_URL = "http://127.0.0.1:7110";
     private static final Duration SHORTEST_PEER_TIMEOUT = Duration.ofMillis(10);
     private static final Duration LONGEST_PEER_TIMEOUT = Duration.ofMinutes(1);
 
@@ -18,15 +20,15 @@
     @Option(
             names = "--log-url",
             paramLabel = "URL",
-            defaultValue = "http://127.0.0.1:7100",
-            description = "Log service. Variable MASTICCROFT_LOG_URL. Default: ${DEFAULT-VALUE}.")
+            defaultValue = DEFAULT_LOG_URL,
+            description = "Log service. Variable MASTICCROFT_LOG_URL. Default: " + DEFAULT_LOG_URL + ".")
     private String logUrl;
 
     @Option(
             names = "--instances-url",
             paramLabel = "URL",
-            defaultValue = "http://127.0.0.1:7110",
-            description = "Instance list. Variable MASTICCROFT_INSTANCES_URL. Default: ${DEFAULT-VALUE}.")
+            defaultValue = DEFAULT_INSTANCES_URL,
+            description = "Instance list. Variable MASTICCROFT_INSTANCES_URL. Default: " + DEFAULT_INSTANCES_URL + ".")
     private String instancesUrl;
 
     @Option(
@@ -39,10 +41,10 @@
     /**
      * Checks the settings and opens the platform.
      *
+     * @param problems problems of further settings of the command, which are reported together with those found here
      * @throws picocli.CommandLine.ParameterException if a setting is not valid
      */
-    public Platform open(CliContext context) {
-        SettingProblems problems = new SettingProblems();
+    public Platform open(CliContext context, SettingProblems problems) {
         URI log = problems.url("--log-url", logUrl);
         URI instances = problems.url("--instances-url", instancesUrl);
         Duration timeout =
--- a/cli/src/main/java/org/masticcroft/cli/PublishCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/PublishCommand.java
@@ -1,6 +1,7 @@
 package org.masticcroft.cli;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.Callable;
 import org.masticcroft.cli.fleet.Platform;
 import org.masticcroft.cli.publish.Publisher;
@@ -51,7 +52,9 @@
 
     @Override
     public Integer call() {
-        try (Platform platform = settings.open(context)) {
+        SettingProblems problems = new SettingProblems();
+        Duration limit = wait.duration(problems);
+        try (Platform platform = settings.open(context, problems)) {
             ConfigResult result = ConfigFolder.load(folder);
             if (result instanceof ConfigResult.Invalid invalid) {
                 ProblemReport report = ProblemReport.of(invalid);
@@ -62,10 +65,7 @@
             return PublishReport.print(
                     output,
                     Publisher.of(platform, context.time(), context.pause(), output::progress)
-                            .publish(
-                                    author.author(),
-                                    inForce -> config.withDrained(inForce.drained()),
-                                    wait.duration()));
+                            .publish(author.author(), inForce -> config.withDrained(inForce.drained()), limit));
         }
     }
 }
--- a/cli/src/main/java/org/masticcroft/cli/SettingProblems.java
+++ b/cli/src/main/java/org/masticcroft/cli/SettingProblems.java
@@ -10,11 +10,11 @@
 import picocli.CommandLine;
 
 /** Checks settings at the start of a command and reports all problems at once. */
-final class SettingProblems {
+public final class SettingProblems {
     private final List<String> problems = new ArrayList<>();
 
     /** Returns the URL that a setting has, or null after a problem was noted. */
-    URI url(String flag, String value) {
+    public URI url(String flag, String value) {
         Optional<URI> url = parseUrl(value);
         if (url.isEmpty()) {
             add(flag, value, "an http or https URL with a host, such as http://10.0.0.1:7100");
@@ -23,7 +23,7 @@
     }
 
     /** Returns the duration that a setting has, or null after a problem was noted. */
-    Duration duration(String flag, String value, Duration least, Duration most) {
+    public Duration duration(String flag, String value, Duration least, Duration most) {
         Optional<Duration> duration =
                 DurationText.parse(value).filter(parsed -> parsed.compareTo(least) >= 0 && parsed.compareTo(most) <= 0);
         if (duration.isEmpty()) {
@@ -37,7 +37,7 @@
      *
      * @throws CommandLine.ParameterException with all problems
      */
-    void throwIfAny(CommandLine command) {
+    public void throwIfAny(CommandLine command) {
         if (!problems.isEmpty()) {
             throw new CommandLine.ParameterException(command, String.join(System.lineSeparator(), problems));
         }
--- a/cli/src/main/java/org/masticcroft/cli/ShowCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/ShowCommand.java
@@ -75,7 +75,7 @@
     }
 
     private int showInForce() {
-        try (Platform platform = settings.open(context)) {
+        try (Platform platform = settings.open(context, new SettingProblems())) {
             Optional<ConfigState> inForce = fromLog(platform).or(() -> fromInstances(platform));
             if (inForce.isEmpty()) {
                 output.progress("neither the log nor an instance tells the version in force");
--- a/cli/src/main/java/org/masticcroft/cli/StatusCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/StatusCommand.java
@@ -25,8 +25,8 @@
 @Command(
         name = "status",
         description = {
-            "Shows the listed instances: their configuration version and whether it is confirmed, load, ready models",
-            "and the chunks held of the weights that they fetch."
+            "Shows the listed instances with their configuration version, load, ready models and chunks held.",
+            "An instance has confirmed its version if it read the log within the last 5 s."
         },
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
@@ -62,11 +62,12 @@
 
     @Override
     public Integer call() {
-        Duration limit = wait.duration();
+        SettingProblems problems = new SettingProblems();
+        Duration limit = wait.duration(problems);
         if (mode.version != null && mode.version < 1) {
             throw new ParameterException(command.commandLine(), "--wait-version must be at least 1");
         }
-        try (Platform platform = settings.open(context)) {
+        try (Platform platform = settings.open(context, problems)) {
             if (mode.version != null) {
                 return awaitVersion(platform, limit);
             }
--- /dev/null
+++ b/cli/src/test/java/org/masticcroft/cli/CommandsTest.java
@@ -0,0 +1,194 @@
+package org.masticcroft.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.masticcroft.cli.TestFleet.Run;
+import org.masticcroft.kernel.config.VersionConfig;
+import org.masticcroft.wire.generated.ReadyModel;
+import org.masticcroft.wire.generated.StatusReply;
+import org.masticcroft.wire.generated.UpstreamLoad;
+import picocli.CommandLine;
+
+class CommandsTest {
+    private static final String PORT = Path.of("..", "examples", "port").toString();
+
+    private final TestFleet fleet = new TestFleet();
+
+    @TempDir
+    private Path empty;
+
+    @Nested
+    class Help {
+        /** Guards against commands, settings and exit codes that change unseen by operators' scripts. */
+        @Test
+        void describesEveryCommand() {
+            StringBuilder help = new StringBuilder(fleet.run("--help").out());
+            for (String name :
+                    Main.commandLine(CliContext.system()).getSubcommands().keySet()) {
+                help.append('\n').append(fleet.run(name, "--help").out());
+            }
+            Approvals.verify(help);
+        }
+
+        /** Guards against a command without help or documented exit codes. */
+        @Test
+        void listsExitCodesForEveryCommand() {
+            for (CommandLine command :
+                    Main.commandLine(CliContext.system()).getSubcommands().values()) {
+                assertThat(command.getCommandSpec().usageMessage().exitCodeList())
+                        .as(command.getCommandName())
+                        .containsKeys("0", "2");
+            }
+        }
+
+        /** Guards against a mistyped command that does something else or ends with success. */
+        @ParameterizedTest
+        @ValueSource(strings = {"", "chek", "status --wait-version 0", "status --watch --wait-version 1", "check"})
+        void isOfferedForAWrongCommandLine(String arguments) {
+            Run run = fleet.run(arguments.isEmpty() ? new String[0] : arguments.split(" "));
+            assertThat(run.exitCode()).isEqualTo(ExitCodes.USAGE);
+            assertThat(run.err()).contains("--help");
+        }
+    }
+
+    @Nested
+    class Folders {
+        /** Guards against a check that passes a bad folder, or hides its problems from scripts. */
+        @Test
+        void withProblemsFailTheCheck() {
+            assertThat(fleet.run("check", PORT).exitCode()).isEqualTo(ExitCodes.OK);
+            Run text = fleet.run("check", empty.toString());
+            assertThat(text.exitCode()).isEqualTo(ExitCodes.PROBLEM);
+            assertThat(text.out()).contains("[FOLDER_EMPTY]");
+            Run json = fleet.run("check", "--output", "json", empty.toString());
+            assertThat(json.out()).contains("\"valid\" : false").contains("\"code\" : \"FOLDER_EMPTY\"");
+            assertThat(fleet.run("publish", empty.toString()).exitCode()).isEqualTo(ExitCodes.PROBLEM);
+        }
+
+        /** Guards against a merged value whose file an operator cannot find. */
+        @Test
+        void areShownWithTheFileOfEachValue() {
+            Run run = fleet.run("show", PORT);
+            assertThat(run.exitCode()).isEqualTo(ExitCodes.OK);
+            assertThat(run.out())
+                    .contains("ranks.live.first_token = 1300ms  # 10-ranks.yaml")
+                    .contains("drained = []  # default");
+        }
+    }
+
+    @Nested
+    class InForce {
+        /** Guards against a shown configuration that is not the one in force. */
+        @Test
+        void isShownFromTheLogOrFromAnInstance() {
+            assertThat(fleet.run("show").out()).startsWith("version = 0");
+            fleet.add("entry-1", Optional.empty());
+            fleet.run("publish", PORT);
+            assertThat(fleet.run("show").out()).startsWith("version = 1").contains("limits.max_tokens = 4096");
+            fleet.log.setAvailable(false);
+            Run down = fleet.run("show", "--output", "json");
+            assertThat(down.out()).contains("\"version\" : 1");
+            assertThat(down.err()).contains("unconfirmed");
+            fleet.trackers.clear();
+            assertThat(fleet.run("show").exitCode()).isEqualTo(ExitCodes.UNAVAILABLE);
+        }
+    }
+
+    @Nested
+    class Status {
+        private StatusReply engine(boolean ready) {
+            VersionConfig wanted = fleet.trackers
+                    .get("entry-1")
+                    .state()
+                    .config()
+                    .models()
+                    .get("quay-assistant")
+                    .versions()
+                    .get("2026-10");
+            StatusReply.Builder reply = StatusReply.newBuilder()
+                    .setLoad(
+                            UpstreamLoad.newBuilder().setSlots(8).setInFlight(3).setQueued(1))
+                    .setChunksHeld(ready ? 32 : 20)
+                    .setChunksTotal(32);
+            if (ready) {
+                reply.addReady(ReadyModel.newBuilder()
+                        .setModel("quay-assistant")
+                        .setVersion("2026-10")
+                        .setWeightsDigest(wanted.digest().value()));
+            }
+            return reply.build();
+        }
+
+        private void publish() {
+            fleet.add("entry-1", Optional.empty());
+            fleet.addEngine("sidecar-1", "engine-1");
+            fleet.run("publish", PORT);
+            fleet.status.put("sidecar-1", engine(false));
+        }
+
+        /** Guards against a table that lacks what an operator needs during a rollout. */
+        @Test
+        void showsTheFleet() {
+            publish();
+            fleet.addEngine("sidecar-2", "engine-2");
+            fleet.trackers.remove("sidecar-2");
+            Run run = fleet.run("status");
+            assertThat(run.exitCode()).isEqualTo(ExitCodes.PROBLEM);
+            Approvals.verify(run.out());
+        }
+
+        /** Guards against a rollout that is reported as complete while an engine serves old weights. */
+        @Test
+        void watchesUntilEveryEngineIsReady() {
+            publish();
+            fleet.atPause = () -> fleet.status.put("sidecar-1", engine(true));
+            Run run = fleet.run("status", "--watch");
+            assertThat(run.exitCode()).isEqualTo(ExitCodes.OK);
+            assertThat(run.err()).contains("0 of 1 engines ready; 20 of 32 chunks held");
+            assertThat(run.out()).contains("1 of 1 engines ready");
+            assertThat(fleet.run("status").exitCode()).isEqualTo(ExitCodes.OK);
+        }
+
+        /** Guards against a healthy report while the log or the list is down. */
+        @Test
+        void failsWithoutThePlatform() {
+            publish();
+            fleet.log.setAvailable(false);
+            assertThat(fleet.run("status").exitCode()).isEqualTo(ExitCodes.UNAVAILABLE);
+            fleet.log.setAvailable(true);
+            fleet.listAvailable = false;
+            assertThat(fleet.run("status").exitCode()).isEqualTo(ExitCodes.UNAVAILABLE);
+            assertThat(fleet.run("status", "--wait-version", "1").exitCode()).isEqualTo(ExitCodes.UNAVAILABLE);
+        }
+
+        /** Guards against a wait that ends before the version is in force, or that never ends. */
+        @Test
+        void waitsForAVersion() {
+            publish();
+            assertThat(fleet.run("status", "--wait-version", "1").exitCode()).isEqualTo(ExitCodes.OK);
+            assertThat(fleet.run("status", "--wait-version", "2").exitCode()).isEqualTo(ExitCodes.NOT_YET_IN_FORCE);
+        }
+    }
+
+    @Nested
+    class HashKey {
+        /** Guards against a hash over the line end, or over nothing. */
+        @Test
+        void hashesTheKeyAlone() {
+            String hash = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+            assertThat(fleet.run(Map.of(), "abc\r\n", "hash-key").out()).isEqualTo(hash + System.lineSeparator());
+            assertThat(fleet.run(Map.of(), "abc", "hash-key").out()).contains(hash);
+            assertThat(fleet.run(Map.of(), "", "hash-key").exitCode()).isEqualTo(ExitCodes.PROBLEM);
+            assertThat(fleet.run(Map.of(), "a key\n", "hash-key").exitCode()).isEqualTo(ExitCodes.PROBLEM);
+        }
+    }
+}
