--- a/cli/src/test/java/org/masticcroft/cli/CommandsTest.java
+++ b/cli/src/test/java/org/masticcroft/cli/CommandsTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.approvaltests.Approvals;
@@ -17,6 +20,7 @@
 import org.masticcroft.wire.generated.StatusReply;
 import org.masticcroft.wire.generated.UpstreamLoad;
 import picocli.CommandLine;
+import picocli.CommandLine.Model.OptionSpec;
 
 class CommandsTest {
     private static final String PORT = Path.of("..", "examples", "port").toString();
@@ -50,6 +54,21 @@
             }
         }
 
+        /** Guards against a setting of the command line that the configuration page does not have. */
+        @Test
+        void namesOnlySettingsThatThePageDescribes() throws IOException {
+            String page = Files.readString(Path.of("..", "docs", "CONFIGURATION.md"));
+            List<OptionSpec> settings = Main.commandLine(CliContext.system()).getSubcommands().values().stream()
+                    .flatMap(command -> command.getCommandSpec().options().stream())
+                    .filter(option -> option.defaultValue() != null)
+                    .toList();
+            assertThat(settings)
+                    .hasSizeGreaterThan(10)
+                    .allSatisfy(option -> assertThat(page)
+                            .contains("| `" + option.longestName() + "` | `"
+                                    + EnvironmentDefaults.variable(option.longestName()) + "` |"));
+        }
+
         /** Guards against a mistyped command that does something else or ends with success. */
         @ParameterizedTest
         @ValueSource(strings = {"", "chek", "status --wait-version 0", "status --watch --wait-version 1", "check"})
