Close gaps found in review of configuration and command line

A folder without any key would have emptied the fleet's configuration; it is FOLDER_EMPTY now. The collections of FleetConfig were mutable. A log that returns no records before its end kept a command reading for ever; that is LOG_UNAVAILABLE now.

Ruled out: refusing a folder without ranks or customers; a fleet of plain services needs neither.

--- a/cli/src/main/java/org/masticcroft/cli/publish/ConfigStream.java
+++ b/cli/src/main/java/org/masticcroft/cli/publish/ConfigStream.java
@@ -10,6 +10,8 @@
 import org.masticcroft.kernel.config.ConfigFold;
 import org.masticcroft.kernel.config.ConfigRecord;
 import org.masticcroft.kernel.config.ConfigState;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.platform.log.LogPage;
 import org.masticcroft.platform.log.LogRecord;
 import org.masticcroft.platform.log.Streams;
@@ -36,16 +38,22 @@
      * Reads up to the end of the stream. If the retained part does not tell the version in force, instances are asked.
      *
      * @return the version in force, or empty if neither the log nor an instance tells it
-     * @throws org.masticcroft.kernel.error.MasticcroftException with {@code LOG_UNAVAILABLE}
+     * @throws MasticcroftException with {@code LOG_UNAVAILABLE}
      */
     public Optional<ConfigState> readToEnd() {
         LogPage page;
+        long before;
         do {
+            before = fold.position();
             page = platform.log().read(Streams.CONFIG, fold.position(), RECORDS_PER_READ, Duration.ZERO);
             continuousFrom = page.earliest() > fold.position() ? page.earliest() : continuousFrom;
             fold = fold.withEarliest(page.earliest());
             page.records().forEach(this::take);
-        } while (fold.position() < page.next());
+        } while (fold.position() < page.next() && fold.position() > before);
+        if (fold.position() < page.next()) {
+            throw MasticcroftException.notRun(
+                    ErrorCode.LOG_UNAVAILABLE, "the log returns no records from offset " + before + " on");
+        }
         if (!fold.isSynchronised()) {
             FleetProbe.of(platform).newestSnapshot().ifPresent(this::adopt);
         }
--- a/kernel/src/main/java/org/masticcroft/kernel/config/ConfigFolder.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ConfigFolder.java
@@ -44,6 +44,9 @@
 
     private ConfigResult load() {
         files().forEach(this::read);
+        if (problems.isEmpty() && merged.root().isEmpty()) {
+            problems.addFile(ProblemCode.FOLDER_EMPTY, "", "no file of " + folder + " sets a key");
+        }
         Provenance provenance = merged.provenance();
         problems.provenance(provenance);
         ObjectNode tree = merged.root().deepCopy();
--- a/kernel/src/main/java/org/masticcroft/kernel/config/FleetConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/FleetConfig.java
@@ -1,6 +1,7 @@
 package org.masticcroft.kernel.config;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Collections;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -42,7 +43,7 @@
         services = copy(services);
         limits = limits == null ? LimitsConfig.defaults() : limits;
         policies = policies == null ? PolicyConfig.defaults() : policies;
-        drained = drained == null ? new TreeSet<>() : new TreeSet<>(drained);
+        drained = Collections.unmodifiableSortedSet(drained == null ? new TreeSet<>() : new TreeSet<>(drained));
     }
 
     /** Returns a configuration without any entry. */
@@ -69,6 +70,6 @@
     }
 
     private static <V> SortedMap<String, V> copy(Map<String, V> map) {
-        return map == null ? new TreeMap<>() : new TreeMap<>(map);
+        return Collections.unmodifiableSortedMap(map == null ? new TreeMap<>() : new TreeMap<>(map));
     }
 }
--- a/kernel/src/main/java/org/masticcroft/kernel/config/ModelConfig.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/config/ModelConfig.java
@@ -1,6 +1,7 @@
 package org.masticcroft.kernel.config;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Collections;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -13,7 +14,7 @@
 public record ModelConfig(
         @JsonProperty(value = "versions", required = true) SortedMap<String, VersionConfig> versions) {
     public ModelConfig {
-        versions = versions == null ? new TreeMap<>() : new TreeMap<>(versions);
+        versions = Collections.unmodifiableSortedMap(versions == null ? new TreeMap<>() : new TreeMap<>(versions));
     }
 
     /** Creates a model from its versions. */
