Find ready weights under steady traffic and match paths as upstreams see them

Wrong: responses reset the silence after which a status is asked for, so an entry with traffic never learnt that a new version is ready; an encoded or relative path could miss the route of an order and match a repeatable one; a malformed content type or a customer without weight broke an answer; an order in a full queue outlived its dispatch-by time. Change: status is asked for every second while wanted weights are missing and every 10 s otherwise; routes are matched on the decoded path, unclear paths are refused; the test of crossed replies now crosses a whole valid answer, because without the check of ids the old one still passed on the byte count. Ruled out: asking every sidecar every 2 s, because of the control traffic at target scale. Conclusion: version switches need no pause in traffic.

--- a/entry/src/main/java/org/masticcroft/entry/http/CallerApi.java
+++ b/entry/src/main/java/org/masticcroft/entry/http/CallerApi.java
@@ -26,6 +26,7 @@
 @Path("/")
 public final class CallerApi {
     private static final String NO_TARGET = "";
+    private static final String SERVICES = "/services/";
 
     private final Intake intake;
     private final ConfigView config;
@@ -124,9 +125,8 @@
             AsyncResponse response)
             throws IOException {
         String raw = uri.getRequestUri().getRawPath();
-        String prefix = "/services/" + uri.getPathSegments().get(1).getPath();
-        int start = raw.indexOf('/', raw.indexOf("/services/") + "/services/".length());
-        String path = start < 0 ? raw.substring(prefix.length()) : raw.substring(start);
+        int serviceStart = raw.indexOf(SERVICES) + SERVICES.length();
+        String path = raw.substring(raw.indexOf('/', serviceStart));
         String query = uri.getRequestUri().getRawQuery();
         String full = query == null ? path : path + '?' + query;
         accept(CallerRequest.Kind.SERVICE, service, request.getMethod(), full, headers, body, response);
--- a/entry/src/main/java/org/masticcroft/entry/http/JerseyAnswerSink.java
+++ b/entry/src/main/java/org/masticcroft/entry/http/JerseyAnswerSink.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import jakarta.ws.rs.container.AsyncResponse;
 import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -35,10 +36,7 @@
     public void whole(AnswerHeaders headers, StoredAnswer answer) {
         Response.ResponseBuilder builder = Response.status(answer.status());
         if (answer.body().length > 0 || !answer.contentType().isEmpty()) {
-            builder.entity(answer.body())
-                    .header(
-                            HttpHeaders.CONTENT_TYPE,
-                            answer.contentType().isEmpty() ? "application/octet-stream" : answer.contentType());
+            builder.entity(answer.body()).type(mediaType(answer.contentType()));
         }
         response.resume(with(builder, headers).build());
     }
@@ -96,6 +94,15 @@
         response.resume(with(builder, headers).build());
     }
 
+    /** An upstream may state no content type or a malformed one; its answer is passed on nevertheless. */
+    private static MediaType mediaType(String contentType) {
+        try {
+            return contentType.isEmpty() ? MediaType.APPLICATION_OCTET_STREAM_TYPE : MediaType.valueOf(contentType);
+        } catch (IllegalArgumentException e) {
+            return MediaType.APPLICATION_OCTET_STREAM_TYPE;
+        }
+    }
+
     private static Response.ResponseBuilder with(Response.ResponseBuilder builder, AnswerHeaders headers) {
         builder.header(Headers.REQUEST_ID, headers.requestId()).header(Headers.CONFIG_VERSION, headers.configVersion());
         headers.weights().ifPresent(weights -> withWeights(builder, weights));
--- a/entry/src/main/java/org/masticcroft/entry/request/Identity.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/Identity.java
@@ -19,6 +19,11 @@
         return new Identity("", "", DEFAULT_CUSTOMER, Integer.MAX_VALUE);
     }
 
+    /** Returns the weight in fair queueing; a customer without one counts as 1. */
+    double weight() {
+        return customerConfig.weight() > 0 ? customerConfig.weight() : 1;
+    }
+
     static Identity of(String customer, String rank, CustomerConfig customerConfig, RankConfig rankConfig) {
         return new Identity(
                 customer,
--- a/entry/src/main/java/org/masticcroft/entry/request/Preparation.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/Preparation.java
@@ -5,11 +5,14 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.masticcroft.kernel.claim.IdempotencyKey;
 import org.masticcroft.kernel.config.FleetConfig;
 import org.masticcroft.kernel.config.KeyConfig;
@@ -24,6 +27,7 @@
     private static final int BYTES_PER_TOKEN = 4;
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int PREFIX_CHARS = 256;
+    private static final Pattern UNCLEAR_PATH = Pattern.compile("//|/\\.{1,2}(/|$)|[\\\\%;]");
 
     private Preparation() {}
 
@@ -112,7 +116,7 @@
         ServiceConfig service = Optional.ofNullable(config.services().get(request.target()))
                 .orElseThrow(() -> MasticcroftException.notRun(
                         ErrorCode.UNKNOWN_SERVICE, "there is no service named " + request.target()));
-        String path = request.path().split("\\?", 2)[0];
+        String path = decodedPath(request.path());
         ServiceConfig.RouteConfig route = service.route(request.method(), path)
                 .orElseThrow(() -> MasticcroftException.notRun(
                         ErrorCode.UNKNOWN_ROUTE,
@@ -122,6 +126,22 @@
         return new RequestSpec(request.target(), false, route.idempotent(), key, 1, 0, fingerprint(identity, request));
     }
 
+    /**
+     * Routes are matched against the path that the upstream will see. Otherwise an encoded or relative path could make
+     * a call that must not be repeated look like one that may.
+     */
+    private static String decodedPath(String pathAndQuery) {
+        try {
+            String path = new URI(pathAndQuery).getPath();
+            if (!pathAndQuery.startsWith("//") && !UNCLEAR_PATH.matcher(path).find()) {
+                return path;
+            }
+        } catch (URISyntaxException e) {
+            throw malformed("the path is not valid");
+        }
+        throw malformed("the path must not contain empty, relative or doubly encoded segments");
+    }
+
     private static IdempotencyKey requiredKey(CallerRequest request, Instant now, Duration keyLifetime) {
         IdempotencyKey key = request.idempotencyKey()
                 .map(IdempotencyKey::parse)
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.masticcroft.entry.admission.Grant;
 import org.masticcroft.entry.admission.Waiter;
+import org.masticcroft.entry.order.ClaimLog;
 import org.masticcroft.entry.order.ClaimResult;
 import org.masticcroft.entry.order.StoredAnswer;
 import org.masticcroft.entry.task.SerialExecutor;
@@ -201,6 +202,7 @@
             return;
         }
         if (request.kind() == CallerRequest.Kind.MODELS) {
+            ledger.target("models", Optional.empty());
             succeed(ModelList.answer(state.config()), false);
             return;
         }
@@ -248,6 +250,7 @@
         }
         claim.decided(result);
         if (result instanceof ClaimResult.Owned) {
+            services.timers().schedule(ClaimLog.DISPATCH_WITHIN, () -> serial.execute(this::onClaimLapsed));
             enqueue();
         } else if (result instanceof ClaimResult.AlreadyRan ran) {
             replay(claim.keyDigest(), ran.owner(), ran.outcome());
@@ -266,6 +269,12 @@
         }
     }
 
+    private void onClaimLapsed() {
+        if (current.isEmpty()) {
+            stopWith(ErrorCode.CLAIM_LAPSED, "the order found no upstream in time");
+        }
+    }
+
     private void orderInProgress() {
         fail(Failure.of(
                 ErrorCode.ORDER_IN_PROGRESS,
@@ -800,7 +809,7 @@
             this.ticket = new Ticket(
                     requestId,
                     identity.customer(),
-                    identity.customerConfig().weight(),
+                    identity.weight(),
                     identity.rank(),
                     spec.estimatedTokens(),
                     admittedBefore ? services.time().nanoTime() : arrivalNanos);
--- a/entry/src/main/java/org/masticcroft/entry/upstream/Upstream.java
+++ b/entry/src/main/java/org/masticcroft/entry/upstream/Upstream.java
@@ -15,6 +15,12 @@
     /** A quarter of the slots may be exceeded by urgent requests, for which the sidecar preempts others. */
     private static final int URGENT_SHARE = 4;
 
+    /** Age of a status at which an upstream is asked again while it does not serve all wanted weights. */
+    private static final long INCOMPLETE_STATUS_NANOS = 1_000_000_000L;
+
+    /** Age of a status at which an upstream is asked again although its responses arrive. */
+    private static final long COMPLETE_STATUS_NANOS = 10_000_000_000L;
+
     final Instance instance;
     final CircuitBreaker breaker;
     boolean listedLeaving;
@@ -25,6 +31,7 @@
     long noticeNanos;
     boolean noticed;
     long heardNanos;
+    long statusNanos;
     long reportNanos;
     long busyUntilNanos;
     boolean statusPending;
@@ -39,11 +46,14 @@
     int chunksHeld;
     int chunksTotal;
     List<ReadyModel> ready = List.of();
+    Set<String> wanted = Set.of();
 
     Upstream(Instance instance, CircuitBreaker breaker, long nowNanos) {
         this.instance = instance;
         this.breaker = breaker;
         this.busyUntilNanos = nowNanos;
+        this.heardNanos = nowNanos - UpstreamTable.SILENCE_NANOS;
+        this.statusNanos = heardNanos;
     }
 
     String id() {
@@ -58,6 +68,13 @@
         return instance.upstream().orElseThrow().kind() == Instance.Kind.SERVICE;
     }
 
+    boolean needsStatus(long nowNanos) {
+        boolean silent = nowNanos - heardNanos >= UpstreamTable.SILENCE_NANOS;
+        boolean incomplete = !readyDigests().containsAll(wanted);
+        long longest = incomplete ? INCOMPLETE_STATUS_NANOS : COMPLETE_STATUS_NANOS;
+        return silent || nowNanos - statusNanos >= longest;
+    }
+
     boolean takesWork() {
         return heard && !unreachable && !listedLeaving && !drained && !draining && !noticed;
     }
--- a/entry/src/main/java/org/masticcroft/entry/upstream/UpstreamTable.java
+++ b/entry/src/main/java/org/masticcroft/entry/upstream/UpstreamTable.java
@@ -78,17 +78,21 @@
             change(upstream, () -> {
                 upstream.listedLeaving = instance.state() == Instance.State.LEAVING;
                 upstream.drained = config.drained().contains(id);
+                upstream.wanted = wantedDigests(config, upstream.group());
             });
         });
     }
 
-    /** Returns the sidecars from which nothing was heard for a while, and notes that their status is requested. */
+    /**
+     * Returns the sidecars whose status is to be requested, and notes that it is: those from which nothing was heard
+     * for a while, and more often those that do not serve yet what the configuration wants, because responses carry
+     * load but not readiness.
+     */
     public synchronized List<Instance> takeSilent() {
         long now = time.nanoTime();
         List<Instance> silent = new ArrayList<>();
         for (Upstream upstream : upstreams.values()) {
-            boolean due = !upstream.heard || now - upstream.heardNanos >= SILENCE_NANOS;
-            if (due && !upstream.statusPending) {
+            if (upstream.needsStatus(now) && !upstream.statusPending) {
                 upstream.statusPending = true;
                 silent.add(upstream.instance);
             }
@@ -97,17 +101,22 @@
     }
 
     /**
-     * Takes over a status.
+     * Takes over a status. The reply of another process that took over the address counts as a failure.
      *
      * @param instance instance that was asked
      * @param status its reply
      * @param askedNanos monotonic time of the request; a reply to an earlier request does not cancel a leaving notice
      */
     public synchronized void onStatus(Instance instance, StatusReply status, long askedNanos) {
+        if (!status.getInstance().equals(instance.id())) {
+            onStatusFailure(instance, false);
+            return;
+        }
         find(instance.id())
                 .ifPresent(upstream -> change(upstream, () -> {
                     heardFrom(upstream);
                     upstream.statusPending = false;
+                    upstream.statusNanos = time.nanoTime();
                     upstream.ready = status.getReadyList();
                     upstream.incarnation = status.getEngineIncarnation();
                     upstream.targetDigest = status.getTargetDigest();
@@ -138,6 +147,7 @@
                 upstream.unreachable = true;
             }
             upstream.heardNanos = time.nanoTime() - SILENCE_NANOS / 2;
+            upstream.statusNanos = time.nanoTime();
         }));
         return !before && found.orElseThrow().unreachable;
     }
@@ -324,6 +334,15 @@
         }
     }
 
+    private static Set<String> wantedDigests(FleetConfig config, String group) {
+        Set<String> wanted = new HashSet<>();
+        config.deployments().values().stream()
+                .filter(deployment -> deployment.group().equals(group))
+                .forEach(deployment -> config.versionOf(deployment)
+                        .ifPresent(version -> wanted.add(version.digest().value())));
+        return wanted;
+    }
+
     private static boolean isRoutable(Upstream upstream) {
         return upstream.takesWork() && (upstream.isService() || !upstream.ready.isEmpty());
     }
--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -310,6 +310,27 @@
                         old.upstream()));
     }
 
+    private static Envelope.Builder headOf(Dispatch dispatch, String contentType) {
+        return Envelope.newBuilder()
+                .setDispatchHead(DispatchHead.newBuilder()
+                        .setRequestId(dispatch.getRequestId())
+                        .setAttempt(dispatch.getAttempt())
+                        .setStatus(200)
+                        .setContentType(contentType));
+    }
+
+    private static DispatchEnd.Builder successOf(Dispatch dispatch, String data) {
+        return DispatchEnd.newBuilder()
+                .setRequestId(dispatch.getRequestId())
+                .setAttempt(dispatch.getAttempt())
+                .setVerdict(org.masticcroft.wire.generated.Verdict.RAN)
+                .setByteCount(data.length())
+                .setAnswerSha256(ByteString.copyFrom(Hashing.sha256()
+                        .hashString(data, StandardCharsets.UTF_8)
+                        .asBytes()))
+                .setWeightsDigest(dispatch.getWeightsDigest());
+    }
+
     private static String digest(char digit) {
         return "sha256:" + String.valueOf(digit).repeat(64);
     }
@@ -445,15 +466,17 @@
         }
 
         public FakeCall head(String contentType) {
-            reply(Envelope.newBuilder()
-                    .setDispatchHead(DispatchHead.newBuilder()
-                            .setRequestId(dispatch.getRequestId())
-                            .setAttempt(dispatch.getAttempt())
-                            .setStatus(200)
-                            .setContentType(contentType)));
+            reply(headOf(dispatch, contentType));
             return this;
         }
 
+        /** Sends the whole answer to another dispatch on this call. */
+        public void crossed(Dispatch other, String text) {
+            reply(headOf(other, "application/json"));
+            chunk(0, text);
+            end(successOf(other, text));
+        }
+
         public FakeCall chunk(String text) {
             data.append(text);
             return chunk(sequence++, text);
@@ -479,15 +502,7 @@
         }
 
         public DispatchEnd.Builder success() {
-            return DispatchEnd.newBuilder()
-                    .setRequestId(dispatch.getRequestId())
-                    .setAttempt(dispatch.getAttempt())
-                    .setVerdict(org.masticcroft.wire.generated.Verdict.RAN)
-                    .setByteCount(data.length())
-                    .setAnswerSha256(ByteString.copyFrom(Hashing.sha256()
-                            .hashString(data, StandardCharsets.UTF_8)
-                            .asBytes()))
-                    .setWeightsDigest(dispatch.getWeightsDigest());
+            return successOf(dispatch, data.toString());
         }
 
         public void end(DispatchEnd.Builder end) {
--- a/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
@@ -77,7 +77,7 @@
             EntryFixture.FakeCall first = entry.peers.last();
             EntryFixture.FakeSink two = entry.chat(false);
             EntryFixture.FakeCall second = entry.peers.last();
-            first.head("application/json").chunk("{}").end(second.success());
+            first.crossed(second.dispatch, "{\"two\":2}");
             assertThat(one.answer).isEmpty();
             assertThat(first.closed).isTrue();
             second.answer("{\"two\":2}");
--- a/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
@@ -98,6 +98,23 @@
             assertThat(entry.lastRecord().version()).contains("v1");
         }
 
+        /** Guards against a new version that is never used because responses keep the status from being asked for. */
+        @Test
+        void areFoundUnderSteadyTraffic() {
+            entry.config.publish(EntryFixture.FakeConfig.fleet("v2", 0));
+            entry.poller.poll();
+            entry.status(9001, "e1", List.of(EntryFixture.V2));
+            for (int i = 0; i < 15; i++) {
+                entry.chat(false);
+                FakeCall call = entry.peers.last();
+                call.head("application/json").chunk("{}");
+                call.end(call.success().setLoad(EntryFixture.load("e1", false)));
+                entry.advance(Duration.ofMillis(100));
+                entry.poller.poll();
+            }
+            assertThat(entry.peers.last().dispatch.getVersion()).isEqualTo("v2");
+        }
+
         @Test
         void thatAreReadyNowhereAreRefused() {
             entry.status(9001, "e1", List.of());
@@ -109,6 +126,19 @@
         }
     }
 
+    @Nested
+    class Paths {
+        /** Guards against an order that passes as a repeatable call because its path is written in another way. */
+        @Test
+        void areMatchedAsTheUpstreamSeesThem() {
+            for (String path : List.of("/%6Frders/1", "/x/../orders/1", "//orders/1", "/x/%2e%2e/orders/1")) {
+                FakeSink caller = entry.send(CallerRequest.Kind.SERVICE, "switch", "POST", path, Optional.empty(), "x");
+                assertThat(caller.code()).isIn(ErrorCode.IDEMPOTENCY_KEY_REQUIRED, ErrorCode.MALFORMED_REQUEST);
+            }
+            assertThat(entry.peers.calls).isEmpty();
+        }
+    }
+
     @Nested
     class Configuration {
         /** Guards against acting on a lower version than one seen in a message of a peer. */
