--- a/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
+++ b/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
@@ -136,12 +136,16 @@
         return lengths;
     }
 
+    /** Returns the number of waiting requests by rank; ranks without any are left out. */
+    public SortedMap<String, Integer> lengthsByRank() {
+        SortedMap<String, Integer> lengths = new TreeMap<>();
+        lengths().values().forEach(group -> group.forEach((rank, count) -> lengths.merge(rank, count, Integer::sum)));
+        return lengths;
+    }
+
     /** Returns the number of waiting requests. */
-    public synchronized int waiting() {
-        return groups.values().stream()
-                .flatMap(queue -> queue.lengths().values().stream())
-                .mapToInt(Integer::intValue)
-                .sum();
+    public int waiting() {
+        return lengthsByRank().values().stream().mapToInt(Integer::intValue).sum();
     }
 
     private GroupQueue newGroup(String group) {
--- a/entry/src/main/java/org/masticcroft/entry/http/StatusApi.java
+++ b/entry/src/main/java/org/masticcroft/entry/http/StatusApi.java
@@ -60,6 +60,7 @@
                 intake.isDraining(),
                 intake.active(),
                 claims.unwritten(),
+                gate.lengthsByRank(),
                 gate.lengths(),
                 upstreams.views());
     }
@@ -77,7 +78,8 @@
      * @param draining whether the entry refuses new requests
      * @param active requests in progress
      * @param unwrittenClaims claims and outcomes that the log has not accepted yet
-     * @param queues waiting requests by upstream group and rank
+     * @param queues waiting requests by rank
+     * @param queuesByGroup waiting requests by upstream group and rank
      * @param upstreams the upstreams that this entry uses
      */
     public record Status(
@@ -91,7 +93,8 @@
             @JsonProperty("draining") boolean draining,
             @JsonProperty("active") int active,
             @JsonProperty("unwritten_claims") int unwrittenClaims,
-            @JsonProperty("queues") SortedMap<String, SortedMap<String, Integer>> queues,
+            @JsonProperty("queues") SortedMap<String, Integer> queues,
+            @JsonProperty("queues_by_group") SortedMap<String, SortedMap<String, Integer>> queuesByGroup,
             @JsonProperty("upstreams") List<UpstreamView> upstreams) {
         public Status {
             upstreams = List.copyOf(upstreams);
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -53,6 +53,7 @@
     /** Time for which the outcome of an order is awaited after its caller was told that it may have run. */
     private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(60);
 
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration BUSY_BACKOFF = Duration.ofMillis(25);
     private static final int MAX_BUSY_DOUBLINGS = 4;
 
@@ -131,7 +132,7 @@
 
     /** Refuses the request before it starts and returns at once. */
     public void refuse(ErrorCode code, String message) {
-        serial.execute(() -> fail(Failure.notRun(code, message)));
+        serial.execute(() -> fail(Failure.notRun(code, message).retryAfter(RETRY_AFTER)));
     }
 
     /** Ends the request with its true verdict and returns at once. */
--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -587,6 +587,20 @@
             state = new ConfigState(state.version() + 1, fleet, 0);
         }
 
+        public static FleetConfig drained(String upstream) {
+            FleetConfig fleet = fleet("v1", 0);
+            return new FleetConfig(
+                    fleet.ranks(),
+                    fleet.customers(),
+                    fleet.keys(),
+                    fleet.models(),
+                    fleet.deployments(),
+                    fleet.services(),
+                    fleet.limits(),
+                    fleet.policies(),
+                    new TreeSet<>(List.of(upstream)));
+        }
+
         public static FleetConfig fleet(String version, double requestsPerSecond) {
             return fleet(version, requestsPerSecond, 3);
         }
--- a/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
@@ -60,6 +60,14 @@
             assertThat(ports()).containsOnly(9002);
         }
 
+        @Test
+        void receiveNoWorkWhenTheConfigurationDrainsThem() {
+            entry.config.publish(EntryFixture.FakeConfig.drained("e1"));
+            entry.poller.poll();
+            entry.chat(false);
+            assertThat(ports()).containsOnly(9002);
+        }
+
         /** Guards against a lost notice: the draining mark of any response excludes the upstream. */
         @Test
         void receiveNoWorkAfterADrainingResponse() {
