Test urgent requests beyond the window and demanded configurations

Missing: no case covered the places that urgent requests may take on full upstreams, nor the header for a least version. Change: two cases. Conclusion: a lower rank does not take the place of an urgent request.

--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -99,6 +99,8 @@
     public final Services services;
     public final Intake intake;
     public final StatusPoller poller;
+    public String callerKey = "secret";
+    public Optional<String> minConfig = Optional.empty();
     private final Queue<Runnable> tasks = new ArrayDeque<>();
 
     private EntryFixture(String self, FakeLog log) {
@@ -198,9 +200,9 @@
                         method,
                         path,
                         "application/json",
-                        Optional.of("Bearer secret"),
+                        Optional.of("Bearer " + callerKey),
                         key,
-                        Optional.empty(),
+                        minConfig,
                         body.getBytes(StandardCharsets.UTF_8)),
                 sink);
         settle();
@@ -587,6 +589,12 @@
             state = new ConfigState(state.version() + 1, fleet, 0);
         }
 
+        private static KeyConfig key(String key, String rank) {
+            String hash =
+                    Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+            return new KeyConfig(hash, "crew", rank);
+        }
+
         public static FleetConfig drained(String upstream) {
             FleetConfig fleet = fleet("v1", 0);
             return new FleetConfig(
@@ -607,16 +615,11 @@
 
         public static FleetConfig fleet(String version, double requestsPerSecond, int queueLimit) {
             return new FleetConfig(
-                    new TreeMap<>(Map.of("live", new RankConfig(0, 0.5, Duration.ofSeconds(1), queueLimit))),
-                    new TreeMap<>(Map.of("crew", new CustomerConfig(1, requestsPerSecond))),
                     new TreeMap<>(Map.of(
-                            "k",
-                            new KeyConfig(
-                                    Hashing.sha256()
-                                            .hashString("secret", StandardCharsets.UTF_8)
-                                            .toString(),
-                                    "crew",
-                                    "live"))),
+                            "live", new RankConfig(0, 0.5, Duration.ofSeconds(1), queueLimit),
+                            "draft", new RankConfig(2, 0.1, Duration.ofSeconds(9), queueLimit))),
+                    new TreeMap<>(Map.of("crew", new CustomerConfig(1, requestsPerSecond))),
+                    new TreeMap<>(Map.of("k", key("secret", "live"), "d", key("draft-key", "draft"))),
                     new TreeMap<>(Map.of(
                             "m",
                             ModelConfig.of(Map.of(
--- a/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
@@ -161,9 +161,10 @@
             assertThat(caller.failure).isEmpty();
         }
 
+        /** Guards against an answer under an older configuration than the caller has seen. */
         @Test
         void thatStaysBehindIsReported() {
-            entry.services.versions().onSeen(2);
+            entry.minConfig = Optional.of("2");
             FakeSink caller = entry.chat(false);
             for (int i = 0; i < 101; i++) {
                 entry.advance(Duration.ofMillis(20));
@@ -186,6 +187,23 @@
             assertThat(entry.peers.calls).hasSize(7);
         }
 
+        /** Guards against urgent requests that wait behind others for an engine on which they may preempt. */
+        @Test
+        void isExceededByUrgentRequestsOnly() {
+            entry.callerKey = "draft-key";
+            for (int i = 0; i < 6; i++) {
+                entry.chat(false);
+            }
+            assertThat(entry.peers.calls).hasSize(4);
+            entry.callerKey = "secret";
+            entry.chat(false);
+            assertThat(entry.peers.calls).hasSize(5);
+            assertThat(entry.peers.last().dispatch.getRank()).isEqualTo("live");
+            entry.peers.last().answer("{}");
+            assertThat(entry.peers.calls).hasSize(5);
+            assertThat(entry.services.gate().lengthsByRank()).containsEntry("draft", 2);
+        }
+
         /** Guards against unbounded queues; a refused request states that it was not run. */
         @Test
         void refusesBeyondTheQueueLimit() {
