--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -87,7 +87,7 @@
     public static final String V1 = digest('1');
     public static final String V2 = digest('2');
     public static final String CHAT = "{\"model\":\"chat\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]";
-    static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+    public static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
 
     public final ManualTimeSource time = ManualTimeSource.of(START);
     public final List<RequestRecord> records = new ArrayList<>();
@@ -543,13 +543,16 @@
         public boolean down;
         public boolean loseResponses;
         public boolean loseRecords;
+        private final List<byte[]> late = new ArrayList<>();
 
         @Override
         public long append(String stream, byte[] data) {
             if (down) {
                 throw MasticcroftException.notRun(ErrorCode.LOG_UNAVAILABLE, "down");
             }
-            if (!loseRecords) {
+            if (loseRecords) {
+                late.add(data);
+            } else {
                 records.add(new LogRecord(records.size(), START, data));
             }
             if (loseResponses || loseRecords) {
@@ -558,6 +561,12 @@
             return records.size() - 1L;
         }
 
+        /** Accepts the records now whose append seemed to be lost. */
+        public void acceptLate() {
+            late.forEach(data -> records.add(new LogRecord(records.size(), START, data)));
+            late.clear();
+        }
+
         @Override
         public LogPage read(String stream, long from, int max, Duration wait) {
             return new LogPage(0, records.size(), records.subList((int) from, records.size()));
