Refuse an idempotency key that was used for another call

Wrong: a key that a caller used again for a different order returned the answer of the first one, so the caller took the second order for executed. Change: a claim carries the digest of its call; a different call under the same key is refused as not run. Ruled out: a digest over customer, key and call as the key, because a changed re-send would then run a second time. Conclusion: an answer belongs to the call that asked for it.

--- a/entry/src/main/java/org/masticcroft/entry/order/ClaimLog.java
+++ b/entry/src/main/java/org/masticcroft/entry/order/ClaimLog.java
@@ -85,11 +85,12 @@
      *
      * @param keyDigest digest of customer and key
      * @param attemptId new unique id
+     * @param requestDigest digest of the call
      * @return the decision; not completed while the stream can't be read, see {@link #abandon}
      */
-    public synchronized CompletableFuture<ClaimResult> claim(String keyDigest, String attemptId) {
+    public synchronized CompletableFuture<ClaimResult> claim(String keyDigest, String attemptId, String requestDigest) {
         long dispatchBy = time.now().plus(DISPATCH_WITHIN).toEpochMilli();
-        ClaimEntry.Claim claim = new ClaimEntry.Claim(keyDigest, attemptId, entry, dispatchBy);
+        ClaimEntry.Claim claim = new ClaimEntry.Claim(keyDigest, attemptId, entry, requestDigest, dispatchBy);
         Waiting waiter = new Waiting(claim, new CompletableFuture<>());
         waiting.put(attemptId, waiter);
         pending.add(claim);
@@ -228,7 +229,9 @@
         if (state instanceof ClaimState.Ran ran) {
             return new ClaimResult.AlreadyRan(ran.owner(), ran.outcome());
         }
-        return state instanceof ClaimState.Open ? new ClaimResult.InProgress() : new ClaimResult.Lost();
+        return state instanceof ClaimState.Open open
+                ? new ClaimResult.InProgress(open.owner())
+                : new ClaimResult.Lost();
     }
 
     private record Waiting(ClaimEntry.Claim claim, CompletableFuture<ClaimResult> result) {}
--- a/entry/src/main/java/org/masticcroft/entry/order/ClaimResult.java
+++ b/entry/src/main/java/org/masticcroft/entry/order/ClaimResult.java
@@ -16,8 +16,12 @@
         }
     }
 
-    /** Another attempt owns the key and may have run or be running. */
-    record InProgress() implements ClaimResult {}
+    /**
+     * Another attempt owns the key and may have run or be running.
+     *
+     * @param owner claim that owns the key
+     */
+    record InProgress(ClaimEntry.Claim owner) implements ClaimResult {}
 
     /**
      * The order was executed.
--- a/entry/src/main/java/org/masticcroft/entry/request/OrderClaim.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/OrderClaim.java
@@ -13,12 +13,14 @@
 final class OrderClaim {
     private final ClaimLog log;
     private final String keyDigest;
+    private final String requestDigest;
     private Optional<String> undecided = Optional.empty();
     private Optional<ClaimEntry.Claim> owned = Optional.empty();
 
-    OrderClaim(ClaimLog log, String keyDigest) {
+    OrderClaim(ClaimLog log, String keyDigest, String requestDigest) {
         this.log = log;
         this.keyDigest = keyDigest;
+        this.requestDigest = requestDigest;
     }
 
     String keyDigest() {
@@ -36,7 +38,7 @@
     CompletableFuture<ClaimResult> claim() {
         String attemptId = UUID.randomUUID().toString();
         undecided = Optional.of(attemptId);
-        return log.claim(keyDigest, attemptId);
+        return log.claim(keyDigest, attemptId, requestDigest);
     }
 
     void decided(ClaimResult result) {
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -229,12 +229,12 @@
         ClaimState state = services.claims().state(keyDigest);
         if (state instanceof ClaimState.Ran ran) {
             replay(keyDigest, ran.owner(), ran.outcome());
-        } else if (state instanceof ClaimState.Open) {
-            orderInProgress();
+        } else if (state instanceof ClaimState.Open open) {
+            orderInProgress(open.owner());
         } else if (!services.config().confirmed()) {
             refuseUnconfirmed();
         } else {
-            OrderClaim claim = new OrderClaim(services.claims(), keyDigest);
+            OrderClaim claim = new OrderClaim(services.claims(), keyDigest, spec.fingerprint());
             order = Optional.of(claim);
             services.timers().schedule(CLAIM_LIMIT, () -> serial.execute(this::onClaimTimeout));
             claim(claim);
@@ -255,8 +255,8 @@
             enqueue();
         } else if (result instanceof ClaimResult.AlreadyRan ran) {
             replay(claim.keyDigest(), ran.owner(), ran.outcome());
-        } else if (result instanceof ClaimResult.InProgress) {
-            orderInProgress();
+        } else if (result instanceof ClaimResult.InProgress progress) {
+            orderInProgress(progress.owner());
         } else if (result instanceof ClaimResult.Unavailable unavailable) {
             fail(Failure.notRun(ErrorCode.LOG_UNAVAILABLE, unavailable.reason()));
         } else {
@@ -276,13 +276,22 @@
         }
     }
 
-    private void orderInProgress() {
+    private void orderInProgress(ClaimEntry.Claim owner) {
+        if (owner.isForOtherCall(prepared.orElseThrow().fingerprint())) {
+            refuseKeyOfOtherCall();
+            return;
+        }
         fail(Failure.of(
                 ErrorCode.ORDER_IN_PROGRESS,
                 Verdict.MAY_HAVE_RUN,
                 "a request with this idempotency key is running or its outcome is unknown"));
     }
 
+    private void refuseKeyOfOtherCall() {
+        fail(Failure.notRun(
+                ErrorCode.IDEMPOTENCY_KEY_MALFORMED, "the idempotency key was used for another call before"));
+    }
+
     private void refuseUnconfirmed() {
         fail(Failure.notRun(
                 ErrorCode.CONFIG_UNAVAILABLE,
@@ -290,6 +299,10 @@
     }
 
     private void replay(String keyDigest, ClaimEntry.Claim owner, ClaimEntry.Outcome outcome) {
+        if (owner.isForOtherCall(prepared.orElseThrow().fingerprint())) {
+            refuseKeyOfOtherCall();
+            return;
+        }
         ledger.alreadyRan();
         services.outcomes()
                 .find(keyDigest)
--- a/entry/src/test/java/org/masticcroft/entry/order/OrderTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/order/OrderTest.java
@@ -159,6 +159,21 @@
             assertThat(entry.peers.calls).hasSize(1);
         }
 
+        /** Guards against the answer of one order that is passed on as the answer of another. */
+        @Test
+        void forAnotherCallIsRefused() {
+            FakeCall first = dispatched(entry.order(KEY));
+            for (int i = 0; i < 2; i++) {
+                FakeSink other = entry.send(
+                        CallerRequest.Kind.SERVICE, "switch", "POST", "/orders/2", Optional.of(KEY), "disconnect");
+                assertThat(other.code()).isEqualTo(ErrorCode.IDEMPOTENCY_KEY_MALFORMED);
+                assertThat(other.verdict()).isEqualTo(Verdict.NOT_RUN);
+                first.answer("done");
+                entry.claims();
+            }
+            assertThat(entry.order(KEY).body()).isEqualTo("done");
+        }
+
         /** Guards against an order that runs again at another entry. */
         @Test
         void toAnotherEntryAsksTheOwner() {
--- a/kernel/src/main/java/org/masticcroft/kernel/claim/ClaimEntry.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/claim/ClaimEntry.java
@@ -28,18 +28,27 @@
      * @param keyDigest digest of customer and key
      * @param attemptId id of the attempt
      * @param entry instance id of the entry
+     * @param requestDigest digest of the call, by which a key that is used for another call is recognised; may be empty
      * @param dispatchByEpochMillis wall-clock time in epoch milliseconds after which the attempt is not dispatched
      */
     record Claim(
             @JsonProperty("key") String keyDigest,
             @JsonProperty("attempt") String attemptId,
             @JsonProperty("entry") String entry,
+            @JsonProperty("request") String requestDigest,
             @JsonProperty("dispatch_by_ms") long dispatchByEpochMillis)
             implements ClaimEntry {
+        /** Rejects absent values. */
         public Claim {
             Objects.requireNonNull(keyDigest, "keyDigest");
             Objects.requireNonNull(attemptId, "attemptId");
             Objects.requireNonNull(entry, "entry");
+            requestDigest = requestDigest == null ? "" : requestDigest;
+        }
+
+        /** Returns whether the key was claimed for another call than the one with this digest. */
+        public boolean isForOtherCall(String otherDigest) {
+            return !requestDigest.isEmpty() && !requestDigest.equals(otherDigest);
         }
     }
 
--- a/kernel/src/test/java/org/masticcroft/kernel/claim/ClaimTableTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/claim/ClaimTableTest.java
@@ -45,7 +45,7 @@
     }
 
     private static ClaimBatch claim(String attempt) {
-        return new ClaimBatch("b-" + attempt, List.of(new ClaimEntry.Claim(KEY, attempt, "entry", 0)));
+        return new ClaimBatch("b-" + attempt, List.of(new ClaimEntry.Claim(KEY, attempt, "entry", "call", 0)));
     }
 
     private static ClaimBatch notRun(String attempt) {
