Keep the entry's tests independent of the decision plug-ins on the class path

Wrong: tests that rely on order of arrival and immediate retries would change with every plug-in that is registered. Change: Policies.minimal() knows the substitutes only; the fixture and the role test use it. Conclusion: the tests state one behaviour.

--- a/entry/src/main/java/org/masticcroft/entry/policy/Policies.java
+++ b/entry/src/main/java/org/masticcroft/entry/policy/Policies.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.masticcroft.kernel.admission.AdmissionPlugin;
 import org.masticcroft.kernel.event.Event;
@@ -18,16 +19,31 @@
 public final class Policies {
     private static final String RETRY_POLICY = "budgeted";
 
-    private final PluginRegistry<AdmissionPlugin> admissions = PluginRegistry.of(AdmissionPlugin.class);
-    private final PluginRegistry<UpstreamChooser> choosers = PluginRegistry.of(UpstreamChooser.class);
-    private final PluginRegistry<RetryPolicy> retries = PluginRegistry.of(RetryPolicy.class);
+    private final Optional<PluginRegistry<AdmissionPlugin>> admissions;
+    private final Optional<PluginRegistry<UpstreamChooser>> choosers;
+    private final Optional<PluginRegistry<RetryPolicy>> retries;
     private final Map<String, Plugin> substitutes = new ConcurrentHashMap<>();
 
-    private Policies() {}
+    private Policies(
+            Optional<PluginRegistry<AdmissionPlugin>> admissions,
+            Optional<PluginRegistry<UpstreamChooser>> choosers,
+            Optional<PluginRegistry<RetryPolicy>> retries) {
+        this.admissions = admissions;
+        this.choosers = choosers;
+        this.retries = retries;
+    }
 
     /** Loads the plug-ins that are registered on the class path. */
     public static Policies load() {
-        return new Policies();
+        return new Policies(
+                Optional.of(PluginRegistry.of(AdmissionPlugin.class)),
+                Optional.of(PluginRegistry.of(UpstreamChooser.class)),
+                Optional.of(PluginRegistry.of(RetryPolicy.class)));
+    }
+
+    /** Returns policies that know the minimal substitutes only, whatever is on the class path. */
+    public static Policies minimal() {
+        return new Policies(Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /** Returns the admission plug-in of that name or its substitute. */
@@ -45,11 +61,12 @@
         return find(retries, RETRY_POLICY, new ImmediateRetryPolicy());
     }
 
-    private <P extends Plugin> P find(PluginRegistry<P> registry, String name, P minimal) {
+    private <P extends Plugin> P find(Optional<PluginRegistry<P>> registry, String name, P minimal) {
         Objects.requireNonNull(name, "name");
-        return registry.find(name).orElseGet(() -> {
-            P substitute =
-                    registry.names().stream().findFirst().map(registry::require).orElse(minimal);
+        return registry.flatMap(plugins -> plugins.find(name)).orElseGet(() -> {
+            P substitute = registry.flatMap(
+                            plugins -> plugins.names().stream().findFirst().map(plugins::require))
+                    .orElse(minimal);
             if (substitutes.put(name, substitute) == null) {
                 EventLog.warn(Event.PLUGIN_SUBSTITUTED, "configured", name, "used", substitute.name());
             }
--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -109,7 +109,7 @@
         VersionGate versions = VersionGate.of(config, version -> {});
         UpstreamTable upstreams = UpstreamTable.of(self, "west", time, upstream -> ConsecutiveFailureBreaker.closed());
         SuspectTable suspects = SuspectTable.of(time);
-        Policies policies = Policies.load();
+        Policies policies = Policies.minimal();
         services = new Services(
                 settings,
                 time,
--- a/entry/src/test/java/org/masticcroft/entry/EntryRoleTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryRoleTest.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.inject.AbstractModule;
 import com.google.inject.Guice;
+import com.google.inject.Module;
+import com.google.inject.util.Modules;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -39,6 +41,7 @@
 import org.masticcroft.account.record.AuditRecord;
 import org.masticcroft.account.record.RequestRecord;
 import org.masticcroft.account.writer.AccountWriter;
+import org.masticcroft.entry.policy.Policies;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.platform.instance.Instance;
@@ -81,8 +84,9 @@
         fixture.instances.clear();
         fixture.engine("e1", port, EntryFixture.V1);
         peers = NettyPeerClient.of(() -> 1);
-        role = Guice.createInjector(EntryModule.of(EntrySettings.of("entry-a", "west", "dc-1")), new TestModule())
-                .getInstance(EntryRole.class);
+        Module module = Modules.override(EntryModule.of(EntrySettings.of("entry-a", "west", "dc-1")))
+                .with(new MinimalPolicies());
+        role = Guice.createInjector(module, new TestModule()).getInstance(EntryRole.class);
         role.start();
         server = new Server();
         ServerConnector connector = new ServerConnector(server);
@@ -341,6 +345,14 @@
         }
     }
 
+    /** Keeps the test independent of the decision plug-ins, which have tests of their own. */
+    private static final class MinimalPolicies extends AbstractModule {
+        @Override
+        protected void configure() {
+            bind(Policies.class).toInstance(Policies.minimal());
+        }
+    }
+
     private final class TestModule extends AbstractModule {
         @Override
         protected void configure() {
