--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.masticcroft.entry.admission.Grant;
 import org.masticcroft.entry.admission.Waiter;
+import org.masticcroft.entry.order.ClaimLog;
 import org.masticcroft.entry.order.ClaimResult;
 import org.masticcroft.entry.order.StoredAnswer;
 import org.masticcroft.entry.task.SerialExecutor;
@@ -33,6 +34,7 @@
 import org.masticcroft.kernel.retry.AttemptFailure;
 import org.masticcroft.kernel.verdict.Verdict;
 import org.masticcroft.wire.generated.DispatchEnd;
+import org.masticcroft.wire.generated.DispatchHead;
 import org.masticcroft.wire.generated.Envelope;
 
 /**
@@ -51,6 +53,7 @@
     /** Time for which the outcome of an order is awaited after its caller was told that it may have run. */
     private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(60);
 
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration BUSY_BACKOFF = Duration.ofMillis(25);
     private static final int MAX_BUSY_DOUBLINGS = 4;
 
@@ -89,7 +92,9 @@
     private Optional<Weights> pinned = Optional.empty();
     private int attempts;
     private int busyRefusals;
+    private int failures;
     private int tokensPassed;
+    private int tokensAtStart;
     private boolean answered;
 
     private RequestRun(Services services, CallerRequest request, AnswerSink sink) {
@@ -127,7 +132,7 @@
 
     /** Refuses the request before it starts and returns at once. */
     public void refuse(ErrorCode code, String message) {
-        serial.execute(() -> fail(Failure.notRun(code, message)));
+        serial.execute(() -> fail(Failure.notRun(code, message).retryAfter(RETRY_AFTER)));
     }
 
     /** Ends the request with its true verdict and returns at once. */
@@ -146,6 +151,23 @@
         serial.execute(this::onCallerGone);
     }
 
+    /**
+     * Notes that a sidecar does not answer any more and returns at once. An order keeps waiting for its outcome, which
+     * nothing else can tell.
+     */
+    public void onUnreachable(String instance) {
+        serial.execute(() -> current.filter(
+                        attempt -> attempt.grant().instance().id().equals(instance))
+                .filter(attempt ->
+                        order.isEmpty() && attempt.isSilent(services.time().nanoTime()))
+                .ifPresent(attempt -> guarded(() -> onCallFailure(
+                        attempt,
+                        MasticcroftException.of(
+                                ErrorCode.PEER_UNREACHABLE,
+                                Verdict.MAY_HAVE_RUN,
+                                "the sidecar " + instance + " does not answer")))));
+    }
+
     private void begin() {
         Duration timeout = arrivalConfig.config().limits().requestTimeout();
         deadline = Optional.of(
@@ -181,6 +203,7 @@
             return;
         }
         if (request.kind() == CallerRequest.Kind.MODELS) {
+            ledger.target("models", Optional.empty());
             succeed(ModelList.answer(state.config()), false);
             return;
         }
@@ -206,12 +229,12 @@
         ClaimState state = services.claims().state(keyDigest);
         if (state instanceof ClaimState.Ran ran) {
             replay(keyDigest, ran.owner(), ran.outcome());
-        } else if (state instanceof ClaimState.Open) {
-            orderInProgress();
+        } else if (state instanceof ClaimState.Open open) {
+            orderInProgress(open.owner());
         } else if (!services.config().confirmed()) {
             refuseUnconfirmed();
         } else {
-            OrderClaim claim = new OrderClaim(services.claims(), keyDigest);
+            OrderClaim claim = new OrderClaim(services.claims(), keyDigest, spec.fingerprint());
             order = Optional.of(claim);
             services.timers().schedule(CLAIM_LIMIT, () -> serial.execute(this::onClaimTimeout));
             claim(claim);
@@ -228,11 +251,12 @@
         }
         claim.decided(result);
         if (result instanceof ClaimResult.Owned) {
+            services.timers().schedule(ClaimLog.DISPATCH_WITHIN, () -> serial.execute(this::onClaimLapsed));
             enqueue();
         } else if (result instanceof ClaimResult.AlreadyRan ran) {
             replay(claim.keyDigest(), ran.owner(), ran.outcome());
-        } else if (result instanceof ClaimResult.InProgress) {
-            orderInProgress();
+        } else if (result instanceof ClaimResult.InProgress progress) {
+            orderInProgress(progress.owner());
         } else if (result instanceof ClaimResult.Unavailable unavailable) {
             fail(Failure.notRun(ErrorCode.LOG_UNAVAILABLE, unavailable.reason()));
         } else {
@@ -246,13 +270,28 @@
         }
     }
 
-    private void orderInProgress() {
+    private void onClaimLapsed() {
+        if (current.isEmpty()) {
+            stopWith(ErrorCode.CLAIM_LAPSED, "the order found no upstream in time");
+        }
+    }
+
+    private void orderInProgress(ClaimEntry.Claim owner) {
+        if (owner.isForOtherCall(prepared.orElseThrow().fingerprint())) {
+            refuseKeyOfOtherCall();
+            return;
+        }
         fail(Failure.of(
                 ErrorCode.ORDER_IN_PROGRESS,
                 Verdict.MAY_HAVE_RUN,
                 "a request with this idempotency key is running or its outcome is unknown"));
     }
 
+    private void refuseKeyOfOtherCall() {
+        fail(Failure.notRun(
+                ErrorCode.IDEMPOTENCY_KEY_MALFORMED, "the idempotency key was used for another call before"));
+    }
+
     private void refuseUnconfirmed() {
         fail(Failure.notRun(
                 ErrorCode.CONFIG_UNAVAILABLE,
@@ -260,12 +299,16 @@
     }
 
     private void replay(String keyDigest, ClaimEntry.Claim owner, ClaimEntry.Outcome outcome) {
+        if (owner.isForOtherCall(prepared.orElseThrow().fingerprint())) {
+            refuseKeyOfOtherCall();
+            return;
+        }
         ledger.alreadyRan();
         services.outcomes()
                 .find(keyDigest)
                 .map(answer -> CompletableFuture.completedFuture(Optional.of(answer)))
                 .orElseGet(() -> services.entries().outcome(owner.entry(), keyDigest))
-                .thenAccept(answer -> serial.execute(() -> onReplay(outcome, answer)));
+                .thenAccept(answer -> serial.execute(() -> guarded(() -> onReplay(outcome, answer))));
     }
 
     private void onReplay(ClaimEntry.Outcome outcome, Optional<StoredAnswer> answer) {
@@ -343,6 +386,7 @@
 
     private void dispatch(Grant grant) {
         attempts++;
+        tokensAtStart = tokensPassed;
         if (attempts == 1) {
             services.retryBudget().recordFirstAttempt(services.time().nanoTime());
         }
@@ -351,7 +395,13 @@
             EventLog.info(
                     Event.STREAM_RESUMED, "request", requestId, "upstream", grant.upstream(), "position", tokensPassed);
         }
-        Attempt attempt = new Attempt(attempts, grant, requestId, serial, this::onReply, this::onCallFailure);
+        Attempt attempt = new Attempt(
+                attempts,
+                grant,
+                requestId,
+                serial,
+                (source, reply) -> guarded(() -> onReply(source, reply)),
+                (source, failure) -> guarded(() -> onCallFailure(source, failure)));
         current = Optional.of(attempt);
         InetSocketAddress address =
                 new InetSocketAddress(grant.instance().host(), grant.instance().peerPort());
@@ -371,7 +421,8 @@
             rejected(attempt, "the attempt has ended");
             return;
         }
-        Optional<String> violation = attempt.accept(reply, prepared.orElseThrow().stream());
+        Optional<String> violation = attempt.accept(
+                reply, prepared.orElseThrow().stream(), services.time().nanoTime());
         if (violation.isPresent()) {
             rejected(attempt, violation.get());
             endAttempt(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_INCOMPLETE, order.isEmpty());
@@ -425,6 +476,9 @@
             crashMarks(attempt, end);
             endAttempt(attempt, verdict, code, false);
             placementHints(attempt, code);
+            if (verdict == Verdict.RAN) {
+                settleRanWithoutAnswer(attempt);
+            }
             decide(attempt, verdict, code, end.getErrorMessage());
             return;
         }
@@ -432,8 +486,7 @@
         if (flaw.isPresent()) {
             rejected(attempt, flaw.get() + " at the end of the answer");
             endAttempt(attempt, Verdict.RAN, flaw.get(), false);
-            order.ifPresent(claim -> claim.ran(
-                    attempt.collector().head().map(head -> head.getStatus()).orElse(0), Optional.empty()));
+            settleRanWithoutAnswer(attempt);
             decide(attempt, Verdict.RAN, flaw.get(), "the answer of the upstream failed its check");
         } else {
             complete(attempt, end);
@@ -471,6 +524,11 @@
         });
     }
 
+    private void settleRanWithoutAnswer(Attempt attempt) {
+        int status = attempt.collector().head().map(DispatchHead::getStatus).orElse(0);
+        order.ifPresent(claim -> claim.ran(status, Optional.empty()));
+    }
+
     private void crashMarks(Attempt attempt, DispatchEnd end) {
         if (end.getUpstreamCrashed()) {
             String started = attempt.collector().incarnation();
@@ -505,7 +563,8 @@
                 "code",
                 code);
         Health health = UNHEALTHY.contains(code) ? Health.BAD : attempt.isHeard() ? Health.GOOD : Health.UNKNOWN;
-        services.gate().release(attempt.grant(), verdict == Verdict.NOT_RUN ? 0 : 1, health);
+        int tokens = verdict == Verdict.NOT_RUN ? 0 : 1 + tokensPassed - tokensAtStart;
+        services.gate().release(attempt.grant(), tokens, health);
     }
 
     private void placementHints(Attempt attempt, ErrorCode code) {
@@ -536,14 +595,9 @@
         } else if (PLACED_AGAIN.contains(code)) {
             enqueueAfter(code == ErrorCode.BUSY ? busyBackoff() : Duration.ZERO);
         } else {
+            failures++;
             AttemptFailure failed = new AttemptFailure(
-                    attempt.number(),
-                    verdict,
-                    code,
-                    spec.idempotent(),
-                    pinned.isPresent(),
-                    pinned.isPresent(),
-                    remaining());
+                    failures, verdict, code, spec.idempotent(), pinned.isPresent(), pinned.isPresent(), remaining());
             long now = services.time().nanoTime();
             Optional<Duration> backoff =
                     services.policies().retry().next(failed, services.retryBudget(), now, services.random());
@@ -592,7 +646,7 @@
             boolean logLate = claiming && code == ErrorCode.DEADLINE_EXCEEDED;
             fail(Failure.of(logLate ? ErrorCode.LOG_UNAVAILABLE : code, ledger.worst(), message));
         } else if (order.isPresent() && code == ErrorCode.DEADLINE_EXCEEDED) {
-            services.timers().schedule(OUTCOME_LIMIT, () -> serial.execute(() -> ended.complete(null)));
+            services.timers().schedule(OUTCOME_LIMIT, () -> serial.execute(this::onOutcomeTimeout));
             answerFailure(Failure.of(code, Verdict.MAY_HAVE_RUN, message));
         } else {
             Attempt attempt = current.get();
@@ -601,6 +655,11 @@
         }
     }
 
+    private void onOutcomeTimeout() {
+        current.ifPresent(attempt -> endAttempt(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.DEADLINE_EXCEEDED, false));
+        ended.complete(null);
+    }
+
     /** Records the outcome of an order whose caller was already told that it may have run. */
     private void settleDetached(Verdict verdict) {
         if (verdict == Verdict.NOT_RUN) {
@@ -637,7 +696,7 @@
                 attempts);
         int status = pinned.isPresent() ? 200 : failure.code().httpStatus();
         record(failure.verdict(), Optional.of(failure.code()), status);
-        sink.failure(headers(false), failure);
+        tell(() -> sink.failure(headers(false), failure));
     }
 
     private void finishStream() {
@@ -647,7 +706,7 @@
         answered = true;
         finishWaiting();
         success(200);
-        sink.endStream();
+        tell(sink::endStream);
         ended.complete(null);
     }
 
@@ -657,7 +716,7 @@
             finishWaiting();
             ledger.answer(answer.body());
             success(answer.status());
-            sink.whole(headers(replayed), answer);
+            tell(() -> sink.whole(headers(replayed), answer));
         }
         ended.complete(null);
     }
@@ -687,7 +746,7 @@
     private void record(Verdict verdict, Optional<ErrorCode> code, int status) {
         Instant now = services.time().now();
         long uncertainty = services.settings().clockUncertainty().toMillis();
-        services.account().write(ledger.close(now, uncertainty, verdict, code, status));
+        tell(() -> services.account().write(ledger.close(now, uncertainty, verdict, code, status)));
         String name = identity.rank().isEmpty() ? "unknown" : identity.rank();
         services.metrics().timer("entry.request." + name).update(services.time().since(arrivalNanos));
         code.ifPresent(
@@ -731,6 +790,15 @@
         return timeout.minus(services.time().since(arrivalNanos));
     }
 
+    /** Runs the last steps of a request; a caller or an account that fails must not keep it from ending. */
+    private void tell(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            EventLog.error(Event.INTERNAL_ERROR, e, "request", requestId);
+        }
+    }
+
     /** Reports every exception of a step to the caller, so that no request is left without an answer. */
     private void guarded(Runnable step) {
         try {
@@ -755,7 +823,7 @@
             this.ticket = new Ticket(
                     requestId,
                     identity.customer(),
-                    identity.customerConfig().weight(),
+                    identity.weight(),
                     identity.rank(),
                     spec.estimatedTokens(),
                     admittedBefore ? services.time().nanoTime() : arrivalNanos);
--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -87,7 +87,7 @@
     public static final String V1 = digest('1');
     public static final String V2 = digest('2');
     public static final String CHAT = "{\"model\":\"chat\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]";
-    static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+    public static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
 
     public final ManualTimeSource time = ManualTimeSource.of(START);
     public final List<RequestRecord> records = new ArrayList<>();
@@ -99,6 +99,8 @@
     public final Services services;
     public final Intake intake;
     public final StatusPoller poller;
+    public String callerKey = "secret";
+    public Optional<String> minConfig = Optional.empty();
     private final Queue<Runnable> tasks = new ArrayDeque<>();
 
     private EntryFixture(String self, FakeLog log) {
@@ -107,7 +109,7 @@
         VersionGate versions = VersionGate.of(config, version -> {});
         UpstreamTable upstreams = UpstreamTable.of(self, "west", time, upstream -> ConsecutiveFailureBreaker.closed());
         SuspectTable suspects = SuspectTable.of(time);
-        Policies policies = Policies.load();
+        Policies policies = Policies.minimal();
         services = new Services(
                 settings,
                 time,
@@ -130,7 +132,7 @@
                 RateLimiter.of(time),
                 new MetricRegistry());
         intake = Intake.of(services);
-        poller = StatusPoller.of(services, () -> List.copyOf(instances.values()));
+        poller = StatusPoller.of(services, () -> List.copyOf(instances.values()), intake::onUnreachable);
         engine("e1", 9001, V1);
         engine("e2", 9002, V1);
         sidecar("s1", 9003, Instance.Kind.SERVICE, "switching");
@@ -198,9 +200,9 @@
                         method,
                         path,
                         "application/json",
-                        Optional.of("Bearer secret"),
+                        Optional.of("Bearer " + callerKey),
                         key,
-                        Optional.empty(),
+                        minConfig,
                         body.getBytes(StandardCharsets.UTF_8)),
                 sink);
         settle();
@@ -310,6 +312,27 @@
                         old.upstream()));
     }
 
+    private static Envelope.Builder headOf(Dispatch dispatch, String contentType) {
+        return Envelope.newBuilder()
+                .setDispatchHead(DispatchHead.newBuilder()
+                        .setRequestId(dispatch.getRequestId())
+                        .setAttempt(dispatch.getAttempt())
+                        .setStatus(200)
+                        .setContentType(contentType));
+    }
+
+    private static DispatchEnd.Builder successOf(Dispatch dispatch, String data) {
+        return DispatchEnd.newBuilder()
+                .setRequestId(dispatch.getRequestId())
+                .setAttempt(dispatch.getAttempt())
+                .setVerdict(org.masticcroft.wire.generated.Verdict.RAN)
+                .setByteCount(data.length())
+                .setAnswerSha256(ByteString.copyFrom(Hashing.sha256()
+                        .hashString(data, StandardCharsets.UTF_8)
+                        .asBytes()))
+                .setWeightsDigest(dispatch.getWeightsDigest());
+    }
+
     private static String digest(char digit) {
         return "sha256:" + String.valueOf(digit).repeat(64);
     }
@@ -445,15 +468,17 @@
         }
 
         public FakeCall head(String contentType) {
-            reply(Envelope.newBuilder()
-                    .setDispatchHead(DispatchHead.newBuilder()
-                            .setRequestId(dispatch.getRequestId())
-                            .setAttempt(dispatch.getAttempt())
-                            .setStatus(200)
-                            .setContentType(contentType)));
+            reply(headOf(dispatch, contentType));
             return this;
         }
 
+        /** Sends the whole answer to another dispatch on this call. */
+        public void crossed(Dispatch other, String text) {
+            reply(headOf(other, "application/json"));
+            chunk(0, text);
+            end(successOf(other, text));
+        }
+
         public FakeCall chunk(String text) {
             data.append(text);
             return chunk(sequence++, text);
@@ -479,15 +504,7 @@
         }
 
         public DispatchEnd.Builder success() {
-            return DispatchEnd.newBuilder()
-                    .setRequestId(dispatch.getRequestId())
-                    .setAttempt(dispatch.getAttempt())
-                    .setVerdict(org.masticcroft.wire.generated.Verdict.RAN)
-                    .setByteCount(data.length())
-                    .setAnswerSha256(ByteString.copyFrom(Hashing.sha256()
-                            .hashString(data, StandardCharsets.UTF_8)
-                            .asBytes()))
-                    .setWeightsDigest(dispatch.getWeightsDigest());
+            return successOf(dispatch, data.toString());
         }
 
         public void end(DispatchEnd.Builder end) {
@@ -526,13 +543,16 @@
         public boolean down;
         public boolean loseResponses;
         public boolean loseRecords;
+        private final List<byte[]> late = new ArrayList<>();
 
         @Override
         public long append(String stream, byte[] data) {
             if (down) {
                 throw MasticcroftException.notRun(ErrorCode.LOG_UNAVAILABLE, "down");
             }
-            if (!loseRecords) {
+            if (loseRecords) {
+                late.add(data);
+            } else {
                 records.add(new LogRecord(records.size(), START, data));
             }
             if (loseResponses || loseRecords) {
@@ -541,6 +561,12 @@
             return records.size() - 1L;
         }
 
+        /** Accepts the records now whose append seemed to be lost. */
+        public void acceptLate() {
+            late.forEach(data -> records.add(new LogRecord(records.size(), START, data)));
+            late.clear();
+        }
+
         @Override
         public LogPage read(String stream, long from, int max, Duration wait) {
             return new LogPage(0, records.size(), records.subList((int) from, records.size()));
@@ -572,18 +598,37 @@
             state = new ConfigState(state.version() + 1, fleet, 0);
         }
 
+        private static KeyConfig key(String key, String rank) {
+            String hash =
+                    Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+            return new KeyConfig(hash, "crew", rank);
+        }
+
+        public static FleetConfig drained(String upstream) {
+            FleetConfig fleet = fleet("v1", 0);
+            return new FleetConfig(
+                    fleet.ranks(),
+                    fleet.customers(),
+                    fleet.keys(),
+                    fleet.models(),
+                    fleet.deployments(),
+                    fleet.services(),
+                    fleet.limits(),
+                    fleet.policies(),
+                    new TreeSet<>(List.of(upstream)));
+        }
+
         public static FleetConfig fleet(String version, double requestsPerSecond) {
+            return fleet(version, requestsPerSecond, 3);
+        }
+
+        public static FleetConfig fleet(String version, double requestsPerSecond, int queueLimit) {
             return new FleetConfig(
-                    new TreeMap<>(Map.of("live", new RankConfig(0, 0.5, Duration.ofSeconds(1), 3))),
-                    new TreeMap<>(Map.of("crew", new CustomerConfig(1, requestsPerSecond))),
                     new TreeMap<>(Map.of(
-                            "k",
-                            new KeyConfig(
-                                    Hashing.sha256()
-                                            .hashString("secret", StandardCharsets.UTF_8)
-                                            .toString(),
-                                    "crew",
-                                    "live"))),
+                            "live", new RankConfig(0, 0.5, Duration.ofSeconds(1), queueLimit),
+                            "draft", new RankConfig(2, 0.1, Duration.ofSeconds(9), queueLimit))),
+                    new TreeMap<>(Map.of("crew", new CustomerConfig(1, requestsPerSecond))),
+                    new TreeMap<>(Map.of("k", key("secret", "live"), "d", key("draft-key", "draft"))),
                     new TreeMap<>(Map.of(
                             "m",
                             ModelConfig.of(Map.of(
--- a/entry/src/test/java/org/masticcroft/entry/EntryRoleTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryRoleTest.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.inject.AbstractModule;
 import com.google.inject.Guice;
+import com.google.inject.Module;
+import com.google.inject.util.Modules;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -39,6 +41,7 @@
 import org.masticcroft.account.record.AuditRecord;
 import org.masticcroft.account.record.RequestRecord;
 import org.masticcroft.account.writer.AccountWriter;
+import org.masticcroft.entry.policy.Policies;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.platform.instance.Instance;
@@ -81,8 +84,9 @@
         fixture.instances.clear();
         fixture.engine("e1", port, EntryFixture.V1);
         peers = NettyPeerClient.of(() -> 1);
-        role = Guice.createInjector(EntryModule.of(EntrySettings.of("entry-a", "west", "dc-1")), new TestModule())
-                .getInstance(EntryRole.class);
+        Module module = Modules.override(EntryModule.of(EntrySettings.of("entry-a", "west", "dc-1")))
+                .with(new MinimalPolicies());
+        role = Guice.createInjector(module, new TestModule()).getInstance(EntryRole.class);
         role.start();
         server = new Server();
         ServerConnector connector = new ServerConnector(server);
@@ -301,12 +305,13 @@
         @Test
         void answerEveryRequestOnce() throws Exception {
             int requests = 200;
+            fixture.config.publish(EntryFixture.FakeConfig.fleet("v1", 0, requests));
             AtomicInteger succeeded = new AtomicInteger();
             CountDownLatch done = new CountDownLatch(requests);
             for (int i = 0; i < requests; i++) {
                 http.sendAsync(chat(i % 2 == 0), HttpResponse.BodyHandlers.ofString())
                         .whenComplete((response, failure) -> {
-                            if (response != null && (response.statusCode() == 200 || response.statusCode() == 429)) {
+                            if (response != null && response.statusCode() == 200) {
                                 succeeded.incrementAndGet();
                             }
                             done.countDown();
@@ -340,6 +345,14 @@
         }
     }
 
+    /** Keeps the test independent of the decision plug-ins, which have tests of their own. */
+    private static final class MinimalPolicies extends AbstractModule {
+        @Override
+        protected void configure() {
+            bind(Policies.class).toInstance(Policies.minimal());
+        }
+    }
+
     private final class TestModule extends AbstractModule {
         @Override
         protected void configure() {
--- a/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
@@ -77,7 +77,7 @@
             EntryFixture.FakeCall first = entry.peers.last();
             EntryFixture.FakeSink two = entry.chat(false);
             EntryFixture.FakeCall second = entry.peers.last();
-            first.head("application/json").chunk("{}").end(second.success());
+            first.crossed(second.dispatch, "{\"two\":2}");
             assertThat(one.answer).isEmpty();
             assertThat(first.closed).isTrue();
             second.answer("{\"two\":2}");
@@ -184,6 +184,24 @@
         }
     }
 
+    @Nested
+    class StalledSidecars {
+        /** Guards against requests that hang until their deadline because a link carries nothing any more. */
+        @Test
+        void loseTheirIdempotentRequestsToOtherUpstreams() {
+            entry.chat(false);
+            int stalled = entry.peers.last().port();
+            entry.statuses.remove(stalled);
+            for (int i = 0; i < 60 && entry.peers.calls.size() == 1; i++) {
+                entry.advance(Duration.ofMillis(100));
+                entry.poller.poll();
+                entry.settle();
+            }
+            assertThat(entry.peers.calls).hasSize(2);
+            assertThat(entry.peers.last().port()).isNotEqualTo(stalled);
+        }
+    }
+
     @Nested
     class Verdicts {
         /** Guards against "not run" for a request that an earlier attempt may have run. */
--- a/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/upstream/RoutingTest.java
@@ -60,6 +60,14 @@
             assertThat(ports()).containsOnly(9002);
         }
 
+        @Test
+        void receiveNoWorkWhenTheConfigurationDrainsThem() {
+            entry.config.publish(EntryFixture.FakeConfig.drained("e1"));
+            entry.poller.poll();
+            entry.chat(false);
+            assertThat(ports()).containsOnly(9002);
+        }
+
         /** Guards against a lost notice: the draining mark of any response excludes the upstream. */
         @Test
         void receiveNoWorkAfterADrainingResponse() {
@@ -98,6 +106,23 @@
             assertThat(entry.lastRecord().version()).contains("v1");
         }
 
+        /** Guards against a new version that is never used because responses keep the status from being asked for. */
+        @Test
+        void areFoundUnderSteadyTraffic() {
+            entry.config.publish(EntryFixture.FakeConfig.fleet("v2", 0));
+            entry.poller.poll();
+            entry.status(9001, "e1", List.of(EntryFixture.V2));
+            for (int i = 0; i < 15; i++) {
+                entry.chat(false);
+                FakeCall call = entry.peers.last();
+                call.head("application/json").chunk("{}");
+                call.end(call.success().setLoad(EntryFixture.load("e1", false)));
+                entry.advance(Duration.ofMillis(100));
+                entry.poller.poll();
+            }
+            assertThat(entry.peers.last().dispatch.getVersion()).isEqualTo("v2");
+        }
+
         @Test
         void thatAreReadyNowhereAreRefused() {
             entry.status(9001, "e1", List.of());
@@ -109,6 +134,19 @@
         }
     }
 
+    @Nested
+    class Paths {
+        /** Guards against an order that passes as a repeatable call because its path is written in another way. */
+        @Test
+        void areMatchedAsTheUpstreamSeesThem() {
+            for (String path : List.of("/%6Frders/1", "/x/../orders/1", "//orders/1", "/x/%2e%2e/orders/1")) {
+                FakeSink caller = entry.send(CallerRequest.Kind.SERVICE, "switch", "POST", path, Optional.empty(), "x");
+                assertThat(caller.code()).isIn(ErrorCode.IDEMPOTENCY_KEY_REQUIRED, ErrorCode.MALFORMED_REQUEST);
+            }
+            assertThat(entry.peers.calls).isEmpty();
+        }
+    }
+
     @Nested
     class Configuration {
         /** Guards against acting on a lower version than one seen in a message of a peer. */
@@ -123,9 +161,10 @@
             assertThat(caller.failure).isEmpty();
         }
 
+        /** Guards against an answer under an older configuration than the caller has seen. */
         @Test
         void thatStaysBehindIsReported() {
-            entry.services.versions().onSeen(2);
+            entry.minConfig = Optional.of("2");
             FakeSink caller = entry.chat(false);
             for (int i = 0; i < 101; i++) {
                 entry.advance(Duration.ofMillis(20));
@@ -148,6 +187,23 @@
             assertThat(entry.peers.calls).hasSize(7);
         }
 
+        /** Guards against urgent requests that wait behind others for an engine on which they may preempt. */
+        @Test
+        void isExceededByUrgentRequestsOnly() {
+            entry.callerKey = "draft-key";
+            for (int i = 0; i < 6; i++) {
+                entry.chat(false);
+            }
+            assertThat(entry.peers.calls).hasSize(4);
+            entry.callerKey = "secret";
+            entry.chat(false);
+            assertThat(entry.peers.calls).hasSize(5);
+            assertThat(entry.peers.last().dispatch.getRank()).isEqualTo("live");
+            entry.peers.last().answer("{}");
+            assertThat(entry.peers.calls).hasSize(5);
+            assertThat(entry.services.gate().lengthsByRank()).containsEntry("draft", 2);
+        }
+
         /** Guards against unbounded queues; a refused request states that it was not run. */
         @Test
         void refusesBeyondTheQueueLimit() {
