--- /dev/null
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/SidecarRoleTest.java
@@ -0,0 +1,228 @@
+package org.masticcroft.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.inject.AbstractModule;
+import com.google.inject.Guice;
+import com.google.protobuf.ByteString;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.account.writer.AccountWriter;
+import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.error.MasticcroftException;
+import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.platform.instance.InstanceList;
+import org.masticcroft.platform.log.LogService;
+import org.masticcroft.wire.NettyPeerClient;
+import org.masticcroft.wire.PeerCallListener;
+import org.masticcroft.wire.PeerClient;
+import org.masticcroft.wire.generated.ChunkReply;
+import org.masticcroft.wire.generated.ChunkRequest;
+import org.masticcroft.wire.generated.Dispatch;
+import org.masticcroft.wire.generated.DispatchEnd;
+import org.masticcroft.wire.generated.Envelope;
+import org.masticcroft.wire.generated.StatusReply;
+import org.masticcroft.wire.generated.StatusRequest;
+
+/** The whole role over HTTP and the peer protocol, with threads and the real clock. */
+class SidecarRoleTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private final Fixture fixture = new Fixture();
+    private final Weights weights = Weights.generate("v1", 20);
+    private final ObjectMapper json = new ObjectMapper();
+    private final CountDownLatch mayAnswer = new CountDownLatch(1);
+    private final PeerClient client = NettyPeerClient.of(() -> 1);
+    private HttpServer server;
+    private SidecarRole role;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(Executors.newCachedThreadPool());
+        server.createContext("/", this::handle);
+        server.start();
+        fixture.deploy(weights);
+        URI url = URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+        SidecarSettings settings = new SidecarSettings(
+                new SidecarSettings.Identity("s-1", "a", "r1", "d1"),
+                new SidecarSettings.Upstream("e-1", Instance.Kind.ENGINE, "g", url),
+                new SidecarSettings.Network(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        List.of(url),
+                        "r1",
+                        1 << 20,
+                        1 << 20),
+                SidecarSettings.Limits.defaults(),
+                Fixture.RETENTION);
+        role = Guice.createInjector(new Shared(), SidecarModule.of(settings)).getInstance(SidecarRole.class);
+        role.start();
+        await(role::ready);
+    }
+
+    @AfterEach
+    void stop() {
+        mayAnswer.countDown();
+        role.close();
+        client.close();
+        server.stop(0);
+    }
+
+    /** Guards against parts that work alone but not together: rollout, status, upload and dispatch. */
+    @Test
+    void loadsWeightsServesThemAndServesPeers() throws Exception {
+        mayAnswer.countDown();
+        StatusReply status = call(Envelope.newBuilder().setStatusRequest(StatusRequest.getDefaultInstance()))
+                .getStatusReply();
+        assertThat(status.getReady(0).getWeightsDigest()).isEqualTo(status.getTargetDigest());
+        assertThat(status.getChunksHeld()).isEqualTo(20);
+        ChunkReply chunk = call(Envelope.newBuilder()
+                        .setChunkRequest(ChunkRequest.newBuilder()
+                                .setWeightsDigest(status.getTargetDigest())
+                                .setIndex(3)))
+                .getChunkReply();
+        assertThat(chunk.getData().toByteArray()).isEqualTo(weights.chunks().get(3));
+        assertThat(dispatch("r-1").get(20, TimeUnit.SECONDS).getErrorCode()).isEmpty();
+    }
+
+    /** Guards against a planned stop that interrupts running work or accepts new work. */
+    @Test
+    void drainsWithRunningWork() throws Exception {
+        CompletableFuture<DispatchEnd> running = dispatch("r-1");
+        await(() -> !fixture.engine.requests.isEmpty());
+        role.beginDrain();
+        assertThat(role.ready()).isFalse();
+        assertThat(dispatch("r-2").get(20, TimeUnit.SECONDS).getErrorCode()).isEqualTo("DRAINING");
+        assertThat(role.awaitDrained(Duration.ofMillis(50))).isFalse();
+        mayAnswer.countDown();
+        assertThat(running.get(20, TimeUnit.SECONDS).getErrorCode()).isEmpty();
+        assertThat(role.awaitDrained(PATIENCE)).isTrue();
+    }
+
+    private CompletableFuture<DispatchEnd> dispatch(String id) {
+        CompletableFuture<DispatchEnd> end = new CompletableFuture<>();
+        Dispatch.Builder dispatch = Dispatch.newBuilder()
+                .setRequestId(id)
+                .setAttempt(1)
+                .setUpstream("e-1")
+                .setMethod("POST")
+                .setPath("/v1/chat/completions")
+                .setBody(ByteString.copyFromUtf8("{}"))
+                .setStream(true)
+                .setWeightsDigest(weights.manifest().digest().value())
+                .setRemainingMs(30_000)
+                .setIdempotent(true);
+        client.open(role.peerAddress(), Envelope.newBuilder().setDispatch(dispatch), new PeerCallListener() {
+            @Override
+            public void onReply(Envelope reply) {
+                if (reply.hasDispatchEnd()) {
+                    end.complete(reply.getDispatchEnd());
+                }
+            }
+
+            @Override
+            public void onFailure(MasticcroftException failure) {
+                end.completeExceptionally(failure);
+            }
+        });
+        return end;
+    }
+
+    private Envelope call(Envelope.Builder request) throws Exception {
+        return client.call(role.peerAddress(), request, PATIENCE).get();
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("condition was not met in time").isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Weight store and engine in one server. */
+    private void handle(HttpExchange exchange) throws IOException {
+        String[] path = exchange.getRequestURI().getPath().split("/");
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        String what = exchange.getRequestMethod() + " " + path[1] + " " + path[2];
+        byte[] answer = switch (what) {
+            case "GET weights m" ->
+                path[4].equals("manifest")
+                        ? json.writeValueAsBytes(weights.manifest())
+                        : weights.chunks().get(Integer.parseInt(path[5]));
+            case "GET admin state" -> json.writeValueAsBytes(fixture.engine.state());
+            case "PUT admin weights" ->
+                json.writeValueAsBytes(
+                        Map.of("sha256", fixture.engine.putChunk(digest(path[3]), Integer.parseInt(path[5]), body)));
+            case "GET admin weights" -> fixture.engine.chunk(digest(path[3]), Integer.parseInt(path[5]));
+            case "POST admin load" -> load(json.readTree(body));
+            case "POST v1 chat" -> complete(exchange);
+            default -> new byte[0];
+        };
+        exchange.sendResponseHeaders(200, answer.length == 0 ? -1 : answer.length);
+        exchange.getResponseBody().write(answer);
+        exchange.close();
+    }
+
+    private byte[] load(JsonNode command) {
+        return fixture.engine
+                .load(weights.manifest(), command.path("fence").asLong())
+                .name()
+                .getBytes();
+    }
+
+    private byte[] complete(HttpExchange exchange) throws IOException {
+        fixture.engine.requests.add(null);
+        try {
+            mayAnswer.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+        String digest = weights.manifest().digest().value();
+        exchange.getResponseHeaders().set("X-Weights-Digest", digest);
+        exchange.getResponseHeaders()
+                .set("X-Engine-Incarnation", fixture.engine.state().incarnation());
+        return FakeEngine.wholeStream(digest).getBytes();
+    }
+
+    private static WeightsDigest digest(String text) {
+        return WeightsDigest.of(text);
+    }
+
+    /** What the binary binds. */
+    private final class Shared extends AbstractModule {
+        @Override
+        protected void configure() {
+            bind(TimeSource.class).toInstance(TimeSource.system());
+            bind(LogService.class).toInstance(fixture.log);
+            bind(InstanceList.class).toInstance(() -> fixture.instances);
+            bind(ConfigView.class).toInstance(fixture.config);
+            bind(AccountWriter.class).toInstance(fixture.account);
+            bind(PeerClient.class).toInstance(client);
+            bind(MetricRegistry.class).toInstance(fixture.metrics);
+            bind(UniformRandomProvider.class).toInstance(RandomSource.XO_RO_SHI_RO_128_PP.create(3));
+        }
+    }
+}
