Keep the engine's state fresh during loads; bound hanging orders

Wrong before: the state of the engine was read only between commands, so a load of more than 10 s made every dispatch fail as WEIGHTS_NOT_LOADED. It is now read every second. A non-idempotent call to an upstream that hangs kept its slot for good; it is given up as MAY_HAVE_RUN 60 s after its deadline. Failed dispatches read the state at once, so a restarted engine is not offered for up to 2 s. Fetching stops when the drain begins. Manifests are bounded to six.

--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
@@ -19,6 +19,9 @@
     /** Interval of the comparison of the engine with the configuration (design 5.5). */
     static final Duration RECONCILE_INTERVAL = Duration.ofSeconds(2);
 
+    /** A reconciliation may wait for a load; the state for dispatches must not grow old meanwhile. */
+    private static final Duration STATE_INTERVAL = Duration.ofSeconds(1);
+
     private static final Duration FETCH_INTERVAL = Duration.ofMillis(100);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(50);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -72,6 +75,7 @@
         if (weights.isPresent()) {
             WeightsSide side = weights.get();
             threads.every(RECONCILE_INTERVAL, () -> reconcile(side));
+            threads.every(STATE_INTERVAL, side.monitor()::refresh);
             threads.every(FETCH_INTERVAL, () -> fetch(side));
         } else {
             threads.every(RECONCILE_INTERVAL, () -> serviceAnswers = serviceCheck.getAsBoolean());
@@ -87,6 +91,7 @@
     @Override
     public void beginDrain() {
         if (drain.begin()) {
+            weights.ifPresent(side -> side.fetcher().stop("draining"));
             notifier.send();
         }
     }
--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarThreads.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarThreads.java
@@ -17,8 +17,8 @@
 /** The bounded thread pools of a sidecar. */
 final class SidecarThreads implements AutoCloseable {
     private static final int CONTROL_THREADS = 4;
-    /** Reconciliation may block on a load; deadlines and fetching need threads of their own meanwhile. */
-    private static final int TIMER_THREADS = 3;
+    /** Reconciliation may block on a load, also twice; state, deadlines and fetching need threads meanwhile. */
+    private static final int TIMER_THREADS = 5;
 
     private static final int KEEP_ALIVE_SECONDS = 30;
 
--- a/sidecar/src/main/java/org/masticcroft/sidecar/WeightsAssembly.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/WeightsAssembly.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.function.Function;
+import org.apache.commons.rng.simple.RandomSource;
 import org.masticcroft.kernel.placement.PlacementPlanner;
 import org.masticcroft.kernel.rollout.FetchPlanner;
 import org.masticcroft.platform.engine.EngineClient;
@@ -107,7 +108,8 @@
                         Members.of(shared.instances(), shared.config(), settings.identity()),
                         shared.local().threads().transfers(),
                         shared.time(),
-                        shared.random(),
+                        // The generator of the binary is not thread-safe.
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(shared.random().nextLong()),
                         shared.metrics(),
                         shared.local().wakeup()),
                 source,
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/DispatchRun.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/DispatchRun.java
@@ -116,8 +116,11 @@
             return Outcome.failure(verdict, stop.get(), "stopped: " + stop.get(), report());
         }
         Outcome outcome = Outcome.failure(verdict, code, message, report());
-        boolean connectionLost = verdict == Verdict.MAY_HAVE_RUN;
-        return connectionLost && gateway.hasEnded(incarnation) ? outcome.withCrash() : outcome;
+        if (code == ErrorCode.BUSY || code == ErrorCode.MALFORMED_REQUEST) {
+            return outcome;
+        }
+        boolean ended = gateway.hasEnded(incarnation);
+        return ended && verdict == Verdict.MAY_HAVE_RUN ? outcome.withCrash() : outcome;
     }
 
     private Outcome.Report report() {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Dispatcher.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Dispatcher.java
@@ -27,6 +27,11 @@
 public final class Dispatcher {
     /** Keeps the sum with the monotonic clock within its range. */
     private static final long LONGEST_REMAINING_MS = TimeUnit.DAYS.toMillis(1);
+    /**
+     * Time past its deadline after which a non-idempotent request is given up as well. Until then its true outcome may
+     * still arrive for the account; without a bound an upstream that hangs would keep the slot for good.
+     */
+    private static final long ORDER_GRACE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final String upstream;
     private final Gateway gateway;
@@ -109,12 +114,17 @@
         Optional.ofNullable(byResponder.get(responder)).ifPresent(active -> stop(active, ErrorCode.CANCELLED));
     }
 
-    /** Ends waiting dispatches past their deadline, stops running idempotent ones, and starts those that can start. */
+    /** Ends waiting dispatches past their deadline, stops running ones, and starts those that can start. */
     public void sweep() {
         long now = time.nanoTime();
-        slots.all().stream()
-                .filter(active -> now - active.deadlineNanos() >= 0)
-                .forEach(active -> stop(active, ErrorCode.DEADLINE_EXCEEDED));
+        for (ActiveDispatch active : slots.all()) {
+            if (now - active.deadlineNanos() >= 0) {
+                stop(active, ErrorCode.DEADLINE_EXCEEDED);
+            }
+            if (now - active.deadlineNanos() >= ORDER_GRACE_NANOS && active.requestStop(ErrorCode.DEADLINE_EXCEEDED)) {
+                stopAtUpstream(active);
+            }
+        }
         slots.startWaiting().forEach(this::start);
     }
 
@@ -221,24 +231,30 @@
         }
     }
 
-    /** Cancels at the upstream first, so that the slot is free there before the next request uses it. */
     private void stopAtUpstream(ActiveDispatch active) {
-        control.execute(() -> {
-            try {
-                gateway.cancel(active.dispatch());
-            } catch (MasticcroftException e) {
-                EventLog.warn(
-                        Event.ATTEMPT_FAILED,
-                        "request",
-                        active.dispatch().getRequestId(),
-                        "what",
-                        "cancel",
-                        "reason",
-                        e.getMessage());
-            } finally {
-                active.stop();
-            }
-        });
+        try {
+            control.execute(() -> cancelAndClose(active));
+        } catch (RejectedExecutionException e) {
+            active.stop();
+        }
+    }
+
+    /** Cancels at the upstream first, so that the slot is free there before the next request uses it. */
+    private void cancelAndClose(ActiveDispatch active) {
+        try {
+            gateway.cancel(active.dispatch());
+        } catch (MasticcroftException e) {
+            EventLog.warn(
+                    Event.ATTEMPT_FAILED,
+                    "request",
+                    active.dispatch().getRequestId(),
+                    "what",
+                    "cancel",
+                    "reason",
+                    e.getMessage());
+        } finally {
+            active.stop();
+        }
     }
 
     private void end(ActiveDispatch active, Outcome outcome) {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/EngineGateway.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/EngineGateway.java
@@ -89,16 +89,8 @@
 
     @Override
     public boolean hasEnded(String incarnation) {
-        try {
-            String now = client.state().incarnation();
-            return !now.equals(incarnation);
-        } catch (MasticcroftException e) {
-            boolean gone = e.verdict() == Verdict.NOT_RUN;
-            if (gone) {
-                monitor.forget();
-            }
-            return gone;
-        }
+        monitor.refresh();
+        return !monitor.incarnation().equals(incarnation);
     }
 
     @Override
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Gateway.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Gateway.java
@@ -30,7 +30,7 @@
     /** Cancels a request at the upstream, as far as it can. Blocks. */
     void cancel(Dispatch dispatch);
 
-    /** Returns whether the process of this incarnation has ended. Blocks. */
+    /** Reads the state of the upstream again and returns whether the process of this incarnation has ended. Blocks. */
     boolean hasEnded(String incarnation);
 
     /**
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/Members.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/Members.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.config.DeploymentConfig;
 import org.masticcroft.kernel.config.FleetConfig;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.platform.instance.Instance;
@@ -33,13 +36,13 @@
 
     /** Returns the other live sidecars whose configuration names these weights. */
     public List<Instance> peers(WeightsDigest digest) {
-        FleetConfig current = config.state().config();
+        Set<String> groups = groups(config.state().config(), digest);
         return instances.instances().stream()
                 .filter(instance -> instance.role() == Instance.Role.SIDECAR)
                 .filter(instance -> instance.state() == Instance.State.LIVE)
                 .filter(instance -> !instance.id().equals(self.instance()))
                 .filter(instance -> instance.upstream()
-                        .filter(upstream -> Target.names(current, upstream.group(), digest))
+                        .filter(upstream -> groups.contains(upstream.group()))
                         .isPresent())
                 .toList();
     }
@@ -57,4 +60,11 @@
     public boolean isSameRegion(Instance instance) {
         return self.region().equals(instance.region());
     }
+
+    private static Set<String> groups(FleetConfig current, WeightsDigest digest) {
+        return current.deployments().values().stream()
+                .map(DeploymentConfig::group)
+                .filter(group -> Target.names(current, group, digest))
+                .collect(Collectors.toSet());
+    }
 }
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineMonitor.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineMonitor.java
@@ -61,11 +61,6 @@
         return latest();
     }
 
-    /** Forgets the state, because the engine process ended or restarted. */
-    public void forget() {
-        seen = null;
-    }
-
     private synchronized void seen(Seen newest) {
         Seen old = seen;
         if (old != null && old.atNanos > newest.atNanos) {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/ManifestCache.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/ManifestCache.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -19,10 +20,21 @@
     /** Time between two attempts to read the same manifest; the weight source backs off on its own as well. */
     private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
 
+    /** A manifest of 100 GB of weights takes about 12 MB; those used last are kept. */
+    private static final int MAX_MANIFESTS = 6;
+
     private final WeightSource source;
     private final Executor executor;
     private final TimeSource time;
-    private final Map<WeightsDigest, Manifest> manifests = new HashMap<>();
+    private final Map<WeightsDigest, Manifest> manifests = new LinkedHashMap<>(MAX_MANIFESTS, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<WeightsDigest, Manifest> eldest) {
+            return size() > MAX_MANIFESTS;
+        }
+    };
+
     private final Map<WeightsDigest, Long> askedAtNanos = new HashMap<>();
 
     private ManifestCache(WeightSource source, Executor executor, TimeSource time) {
--- a/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
@@ -353,6 +353,25 @@
             assertThat(end.getErrorCode()).isEqualTo(ErrorCode.DRAINING.name());
         }
 
+        /** Guards against an order on an upstream that hangs, which would keep its slot for good. */
+        @Test
+        void hangingOrderIsGivenUpAfterGrace() {
+            List<Integer> stops = new ArrayList<>();
+            fixture.engine.answer = request -> interrupted(
+                    "",
+                    () -> {
+                        for (int i = 0; i < 2; i++) {
+                            fixture.time.advance(Duration.ofSeconds(46));
+                            dispatcher.sweep();
+                            stops.add(fixture.engine.cancelled.size());
+                        }
+                    },
+                    null);
+            DispatchEnd end = run(order("r-1", 10_000)).end();
+            assertThat(stops).containsExactly(0, 2);
+            assertThat(end.getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
         /** Guards against requests that run on after their deadline. */
         @Test
         void deadlineCancelsRunningRequest() {
