Test streams that end at the boundary of an event

The earlier test of a truncated stream passed without the check for [DONE], because its stream ended within an event. It now covers three endings.

--- a/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
@@ -126,11 +126,13 @@
         /** Guards against a stream that breaks off and is taken for a short answer. */
         @Test
         void truncatedStreamIsNotSuccess() {
-            fixture.engine.answer = request -> FakeEngine.stream(FakeEngine.tokens(3) + "data: {\"cho");
-            Replies replies = run(request("r-1"));
-            assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.ANSWER_INCOMPLETE.name());
-            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
-            assertThat(replies.text()).isEqualTo(FakeEngine.tokens(3));
+            for (String rest : List.of("", "data: {\"cho", "data: [DONE]\n")) {
+                fixture.engine.answer = request -> FakeEngine.stream(FakeEngine.tokens(3) + rest);
+                Replies replies = run(request("r-" + rest));
+                assertThat(replies.end().getErrorCode()).isEqualTo(ErrorCode.ANSWER_INCOMPLETE.name());
+                assertThat(replies.end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+                assertThat(replies.text()).isEqualTo(FakeEngine.tokens(3));
+            }
         }
 
         /** Guards against a truncated whole response. */
