--- a/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/DispatcherTest.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -19,9 +20,14 @@
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.platform.engine.EngineRequest;
+import org.masticcroft.platform.service.ServiceClient;
+import org.masticcroft.platform.service.UpstreamCall;
+import org.masticcroft.platform.service.UpstreamRequest;
+import org.masticcroft.platform.service.UpstreamResponse;
 import org.masticcroft.sidecar.dispatch.DispatchJournal;
 import org.masticcroft.sidecar.dispatch.Dispatcher;
 import org.masticcroft.sidecar.dispatch.EngineGateway;
+import org.masticcroft.sidecar.dispatch.ServiceGateway;
 import org.masticcroft.sidecar.target.EngineMonitor;
 import org.masticcroft.sidecar.target.WeightsUse;
 import org.masticcroft.wire.PeerResponder;
@@ -399,6 +405,76 @@
         }
     }
 
+    @Nested
+    class PlainService {
+        private int status = 200;
+        private boolean up = true;
+        private InputStream body = FakeEngine.stream("ok");
+        private final List<UpstreamRequest> calls = new ArrayList<>();
+        private final ServiceClient service = new ServiceClient() {
+            @Override
+            public UpstreamCall open(UpstreamRequest request) {
+                calls.add(request);
+                return new UpstreamCall() {
+                    @Override
+                    public UpstreamResponse await() {
+                        return new UpstreamResponse(status, "text/plain", Optional.empty(), Optional.empty(), body);
+                    }
+
+                    @Override
+                    public void abort() {}
+                };
+            }
+
+            @Override
+            public boolean acceptsConnections() {
+                return up;
+            }
+        };
+
+        private Replies call(Dispatch.Builder dispatch) {
+            Replies replies = new Replies();
+            new Dispatcher(
+                            "e-1",
+                            ServiceGateway.of(service, 2),
+                            () -> draining,
+                            new Dispatcher.Bounds(8, 1),
+                            DispatchJournal.of("e-1", fixture.account, fixture.time, fixture.metrics),
+                            new Dispatcher.Executors(Runnable::run, Runnable::run),
+                            fixture.time)
+                    .dispatch(dispatch.setWeightsDigest("").setStream(false).build(), replies);
+            return replies;
+        }
+
+        /** Guards against answers of the service that callers do not see, such as a refusal of the order itself. */
+        @Test
+        void passesOnClientErrors() {
+            status = 409;
+            Replies replies = call(order("r-1", 10_000).setPath("/orders?berth=3"));
+            assertThat(replies.text()).isEqualTo("ok");
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.RAN);
+            assertThat(calls.get(0).path()).isEqualTo("/orders?berth=3");
+        }
+
+        /** Guards against a server error that is taken for the outcome of an order. */
+        @Test
+        void serverErrorMayHaveRun() {
+            status = 500;
+            Replies replies = call(order("r-1", 10_000));
+            assertThat(replies.end().getVerdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(replies.messages).noneMatch(Envelope::hasDispatchHead);
+        }
+
+        /** Guards against a short answer that breaks off after its first bytes were passed on. */
+        @Test
+        void brokenAnswerOfCrashedServiceIsHeldBack() {
+            body = interrupted("partial", () -> up = false, null);
+            Replies replies = call(request("r-1"));
+            assertThat(replies.text()).isEmpty();
+            assertThat(replies.end().getUpstreamCrashed()).isTrue();
+        }
+    }
+
     /** Collects the replies of one call. */
     private static final class Replies implements PeerResponder {
         private final List<Envelope> messages = new ArrayList<>();
--- a/sidecar/src/test/java/org/masticcroft/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/SidecarRoleTest.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -38,6 +39,7 @@
 import org.masticcroft.wire.NettyPeerClient;
 import org.masticcroft.wire.PeerCallListener;
 import org.masticcroft.wire.PeerClient;
+import org.masticcroft.wire.PeerServer;
 import org.masticcroft.wire.generated.ChunkReply;
 import org.masticcroft.wire.generated.ChunkRequest;
 import org.masticcroft.wire.generated.Dispatch;
@@ -107,6 +109,31 @@
         assertThat(dispatch("r-1").get(20, TimeUnit.SECONDS).getErrorCode()).isEmpty();
     }
 
+    /** Guards against entries that go on sending work to a sidecar that leaves. */
+    @Test
+    void tellsEntriesThatItLeaves() throws Exception {
+        CompletableFuture<String> leaving = new CompletableFuture<>();
+        try (PeerServer entry = PeerServer.of(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> 1,
+                (request, responder) ->
+                        leaving.complete(request.getLeavingNotice().getUpstream()))) {
+            fixture.instances.add(new Instance(
+                    "entry-1",
+                    Instance.Role.ENTRY,
+                    "r1",
+                    "d1",
+                    "127.0.0.1",
+                    0,
+                    0,
+                    entry.address().getPort(),
+                    Instance.State.LIVE,
+                    Optional.empty()));
+            role.beginDrain();
+            assertThat(leaving.get(20, TimeUnit.SECONDS)).isEqualTo("e-1");
+        }
+    }
+
     /** Guards against a planned stop that interrupts running work or accepts new work. */
     @Test
     void drainsWithRunningWork() throws Exception {
