Guarantee shares by running tickets instead of token credit

Cause: a rank that held every slot could still be owed service by its token credit, and a preempted ticket raised the credit, so the slot went back to the rank that had been preempted. Change: a rank is owed service while its part of the running tickets is below its share. The fake engine lets requests join at the next step, as a batching engine does, and the replay asks again if the freed slot went to another request.

--- a/experiments/src/main/java/org/masticcroft/experiments/replay/EngineFake.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/replay/EngineFake.java
@@ -75,7 +75,8 @@
     }
 
     /**
-     * Starts a request. It runs beyond the slots too, as an engine that queues does, at proportionally lower speed.
+     * Starts a request. On a busy engine it joins the batch at the next step. It runs beyond the slots too, as an
+     * engine that queues does, at proportionally lower speed.
      *
      * @param request the request
      * @param done tokens that an earlier attempt has already delivered
@@ -91,7 +92,8 @@
             prefixes.remove(prefixes.keySet().iterator().next());
         }
         int prefill = done + (cached ? request.promptTokens() / 4 : request.promptTokens());
-        double first = loop.now() + prefill * Deployment.PREFILL_MILLIS * NANOS_PER_MILLI * slowness + tokenNanos;
+        double joins = running.isEmpty() ? loop.now() : Math.ceil(loop.now() / tokenNanos) * tokenNanos;
+        double first = joins + prefill * Deployment.PREFILL_MILLIS * NANOS_PER_MILLI * slowness + tokenNanos;
         int tokens = request.outputTokens() - done;
         Run run = new Run(listener, first, tokenNanos, tokens);
         running.put(request.id(), run);
@@ -107,13 +109,6 @@
         });
     }
 
-    /** Returns the time of the next token of a running request. */
-    public long nextTokenNanos(String requestId) {
-        Run run = running.get(requestId);
-        double steps = Math.ceil((loop.now() - run.firstNanos()) / run.tokenNanos());
-        return (long) Math.ceil(run.firstNanos() + Math.max(0, steps) * run.tokenNanos());
-    }
-
     /** Returns whether a request is running. */
     public boolean isRunning(String requestId) {
         return running.containsKey(requestId);
--- a/experiments/src/main/java/org/masticcroft/experiments/serving/Served.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/Served.java
@@ -16,6 +16,7 @@
     private int delivered;
     private int interruptions;
     private int worstLoss;
+    private boolean promptCharged;
 
     Served(TraceRequest request, long arrivalNanos) {
         this.request = request;
@@ -94,4 +95,11 @@
         interruptions++;
         worstLoss = Math.max(worstLoss, produced - kept);
     }
+
+    /** Returns the length of the prompt at the first call, then 0. */
+    int takePromptTokens() {
+        int tokens = promptCharged ? 0 : request.promptTokens();
+        promptCharged = true;
+        return tokens;
+    }
 }
--- a/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
@@ -1,6 +1,5 @@
 package org.masticcroft.experiments.serving;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -147,21 +146,27 @@
     }
 
     private void preemptFor(Ticket waiting) {
-        List<Ticket> candidates = new ArrayList<>();
-        running.values().stream().filter(run -> !run.leaving()).forEach(run -> candidates.add(run.ticket()));
+        List<Ticket> candidates = running.values().stream()
+                .filter(run -> !run.leaving())
+                .map(Running::ticket)
+                .toList();
         preemption.victim(waiting, candidates, ranks).ifPresent(victim -> {
             Running run = running.get(victim.requestId());
             running.put(victim.requestId(), new Running(run.ticket(), run.engine(), true));
-            long boundary = Math.max(loop.now() + LINK_NANOS, run.engine().nextTokenNanos(victim.requestId()));
-            loop.at(boundary, () -> interrupt(victim, run.engine()));
+            loop.after(LINK_NANOS, () -> interrupt(victim, run.engine(), waiting));
         });
     }
 
-    private void interrupt(Ticket victim, EngineFake engine) {
+    /** Frees a slot; if the queue gives it to another request, the one that asked for it tries again. */
+    private void interrupt(Ticket victim, EngineFake engine, Ticket waiting) {
         if (engine.isRunning(victim.requestId())) {
             resumeLater(victim, engine.cancel(victim.requestId()));
             pump();
         }
+        Served result = served.get(waiting.requestId());
+        if (!running.containsKey(waiting.requestId()) && !result.isRefused() && !result.isFinished()) {
+            preemptFor(waiting);
+        }
     }
 
     private void resumeLater(Ticket ticket, int produced) {
@@ -181,14 +186,9 @@
                 loop.now());
     }
 
+    /** Charges what an attempt used; the prompt counts once, because a resumed request finds it cached. */
     private void charge(Ticket ticket, int tokens) {
-        queue.finish(ticket, ticket.estimatedTokens() == 0 ? 0 : tokens + promptOf(ticket), loop.now());
-    }
-
-    /** A resumed request is not charged for its prompt again. */
-    private int promptOf(Ticket ticket) {
-        Served result = served.get(ticket.requestId());
-        return result.interruptions() <= 1 ? result.request().promptTokens() : 0;
+        queue.finish(ticket, tokens + served.get(ticket.requestId()).takePromptTokens(), loop.now());
     }
 
     /** Names of the decision implementations of a replay. */
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -22,7 +22,7 @@
     private final ServiceRate rate = new ServiceRate();
     private double clock;
     private double waitingWeight;
-    private double credit;
+    private int running;
     private int waiting;
 
     private RankQueue(RankConfig config) {
@@ -45,24 +45,13 @@
         return waiting >= config.queueLimit();
     }
 
-    /** Returns the tokens that the rank may still take before more urgent ranks to reach its guaranteed share. */
-    double credit() {
-        return credit;
-    }
-
-    /** Grants the guaranteed share of {@code tokens} served by any rank. */
-    void accrue(double tokens) {
-        credit += tokens * config.share();
-    }
-
-    /** Charges service that used the guarantee. */
-    void debit(double tokens) {
-        credit -= tokens;
-    }
-
-    /** Counts service that used free capacity; it satisfies an open claim but leaves no debt. */
-    void satisfy(double tokens) {
-        credit = Math.max(credit - tokens, Math.min(credit, 0));
+    /**
+     * Returns how many running tickets the rank lacks to its guaranteed share.
+     *
+     * @param totalRunning running tickets of all ranks
+     */
+    double lacking(int totalRunning) {
+        return config.share() * (totalRunning + 1) - running - 1;
     }
 
     /** Returns the expected wait of a new ticket of a customer; zero if there is no estimate. */
@@ -129,14 +118,16 @@
         Ticket ticket = customer.takeOldest();
         customer.charge(ticket.estimatedTokens());
         waiting--;
+        running++;
         attach(customer);
         rate.recordPoll(nowNanos);
         forgetIdle();
         return ticket;
     }
 
-    /** Replaces the estimate charged for a ticket by its true cost. */
-    void correct(Ticket ticket, int actualTokens) {
+    /** Ends a running ticket and replaces the estimate charged for it by its true cost. */
+    void finish(Ticket ticket, int actualTokens) {
+        running--;
         CustomerQueue customer = customers.get(ticket.customer());
         if (customer == null) {
             return;
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -12,8 +12,9 @@
 import org.masticcroft.kernel.error.ErrorCode;
 
 /**
- * Serves the most urgent rank first, except that a rank below its guaranteed share goes before more urgent ones. Within
- * a rank, customers share by weight. Tickets of an unknown rank count as the least urgent one.
+ * Serves the most urgent rank first, except that a rank below its guaranteed share goes before more urgent ones. The
+ * share is that of the running tickets, which all produce tokens at the same pace. Within a rank, customers share by
+ * weight. Tickets of an unknown rank count as the least urgent one.
  */
 final class RankedFairQueue implements AdmissionQueue {
     /** Part of the first-token target that may be spent waiting; the rest is for the engine. */
@@ -25,7 +26,7 @@
     private final Map<String, RankQueue> ranks = new HashMap<>();
     private final List<RankQueue> byUrgency;
     private final Map<String, Waiting> waiting = new HashMap<>();
-    private final Map<String, Running> running = new HashMap<>();
+    private final Map<String, RankQueue> running = new HashMap<>();
     private long sequence;
 
     private RankedFairQueue(SortedMap<String, RankConfig> configs) {
@@ -86,14 +87,14 @@
             }
             if (urgent == null) {
                 urgent = rank;
-            } else if (rank.credit() > 0 && (owed == null || rank.credit() > owed.credit())) {
+            } else if (rank.lacking(running.size()) >= 0 && (owed == null || lacksMore(rank, owed))) {
                 owed = rank;
             }
         }
         if (urgent == null) {
             return Optional.empty();
         }
-        return Optional.of(take(owed == null ? urgent : owed, owed != null, nowNanos));
+        return Optional.of(take(owed == null ? urgent : owed, nowNanos));
     }
 
     @Override
@@ -108,12 +109,10 @@
 
     @Override
     public void finish(Ticket ticket, int actualTokens, long nowNanos) {
-        Running ended = running.remove(ticket.requestId());
-        if (ended == null) {
-            return;
+        RankQueue rank = running.remove(ticket.requestId());
+        if (rank != null) {
+            rank.finish(ticket, actualTokens);
         }
-        ended.rank().correct(ticket, actualTokens);
-        correctShares(ended, actualTokens - ticket.estimatedTokens());
     }
 
     private RankQueue rankOf(Ticket ticket) {
@@ -127,37 +126,15 @@
         waiting.put(ticket.requestId(), new Waiting(rank, place, ticket));
     }
 
-    private Ticket take(RankQueue rank, boolean onGuarantee, long nowNanos) {
+    private Ticket take(RankQueue rank, long nowNanos) {
         Ticket ticket = rank.take(nowNanos);
         waiting.remove(ticket.requestId());
-        running.put(ticket.requestId(), new Running(rank, onGuarantee));
-        account(rank, ticket.estimatedTokens(), onGuarantee);
+        running.put(ticket.requestId(), rank);
         return ticket;
     }
 
-    private void account(RankQueue served, double tokens, boolean onGuarantee) {
-        for (RankQueue rank : byUrgency) {
-            if (rank.waiting() > 0 || rank == served) {
-                rank.accrue(tokens);
-            }
-        }
-        if (onGuarantee) {
-            served.debit(tokens);
-        } else {
-            served.satisfy(tokens);
-        }
-    }
-
-    /** Corrects what the estimate granted to the ranks that wait; free capacity left no charge to correct. */
-    private void correctShares(Running ended, double tokens) {
-        for (RankQueue rank : byUrgency) {
-            if (rank.waiting() > 0 && rank != ended.rank()) {
-                rank.accrue(tokens);
-            }
-        }
-        if (ended.onGuarantee()) {
-            ended.rank().debit(tokens);
-        }
+    private boolean lacksMore(RankQueue rank, RankQueue other) {
+        return rank.lacking(running.size()) > other.lacking(running.size());
     }
 
     private static Admission refuse(ErrorCode code, Duration wait) {
@@ -165,6 +142,4 @@
     }
 
     private record Waiting(RankQueue rank, CustomerQueue.Place place, Ticket ticket) {}
-
-    private record Running(RankQueue rank, boolean onGuarantee) {}
 }
