Bound a customer's part of the queue by the free places

Ruled out: a fixed limit per customer; it wastes the queue when few customers wait. Change: a customer with waiting work is refused once it holds more places per weight than are free; shares are rounded up to a whole ticket.

--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -45,13 +45,24 @@
         return waiting >= config.queueLimit();
     }
 
+    /**
+     * Returns whether a customer holds its part of the queue: more places per weight than are free. A lone one gets
+     * half of the queue, and newcomers find room without displacing a ticket that already waits.
+     */
+    boolean isFullFor(Ticket ticket) {
+        CustomerQueue customer = customers.get(ticket.customer());
+        return customer != null
+                && customer.size() > 0
+                && customer.length() >= Math.max(0, config.queueLimit() - waiting);
+    }
+
     /**
      * Returns how many running tickets the rank lacks to its guaranteed share.
      *
      * @param totalRunning running tickets of all ranks
      */
     double lacking(int totalRunning) {
-        return config.share() * (totalRunning + 1) - running - 1;
+        return config.share() * (totalRunning + 1) - running;
     }
 
     /** Returns the expected wait of a new ticket of a customer; zero if there is no estimate. */
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -58,6 +58,9 @@
         if (target != null && wait.toNanos() > target.toNanos() * WAIT_PART_OF_TARGET) {
             return refuse(ErrorCode.TARGET_UNREACHABLE, wait);
         }
+        if (rank.isFullFor(ticket)) {
+            return refuse(ErrorCode.QUEUE_FULL, wait);
+        }
         if (!rank.isFull()) {
             add(rank, ticket, nowNanos);
             return Admission.Queued.empty();
@@ -87,7 +90,7 @@
             }
             if (urgent == null) {
                 urgent = rank;
-            } else if (rank.lacking(running.size()) >= 0 && (owed == null || lacksMore(rank, owed))) {
+            } else if (rank.lacking(running.size()) > 0 && (owed == null || lacksMore(rank, owed))) {
                 owed = rank;
             }
         }
