Let any rank preempt, and customers far above their share give way

Cause: small customers waited for a slot while one customer held nearly all of them. Ruled out: polling after a preemption; the freed slot can go to the preempted customer again, without end. The new default method AdmissionQueue.take gives the slot to the ticket that it was freed for. Change: share-preserving preemption serves every rank, and within a rank a customer with more than twice the slots per weight gives way.

--- a/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
@@ -157,16 +157,13 @@
         });
     }
 
-    /** Frees a slot; if the queue gives it to another request, the one that asked for it tries again. */
+    /** Frees a slot and gives it to the request that asked for it, if that one still waits. */
     private void interrupt(Ticket victim, EngineFake engine, Ticket waiting) {
         if (engine.isRunning(victim.requestId())) {
             resumeLater(victim, engine.cancel(victim.requestId()));
-            pump();
-        }
-        Served result = served.get(waiting.requestId());
-        if (!running.containsKey(waiting.requestId()) && !result.isRefused() && !result.isFinished()) {
-            preemptFor(waiting);
+            queue.take(waiting.requestId(), loop.now()).ifPresent(this::start);
         }
+        pump();
     }
 
     private void resumeLater(Ticket ticket, int produced) {
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/AdmissionQueue.java
@@ -31,6 +31,14 @@
      */
     Optional<Ticket> poll(long nowNanos);
 
+    /**
+     * Removes and returns one waiting ticket out of turn, because a slot was freed for it by preemption. It counts as
+     * running like a polled one. Queues that know no preemption return empty.
+     */
+    default Optional<Ticket> take(String requestId, long nowNanos) {
+        return Optional.empty();
+    }
+
     /** Removes a waiting ticket, for example because its caller went away. Returns whether it was waiting. */
     boolean remove(String requestId);
 
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/CustomerQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/CustomerQueue.java
@@ -73,9 +73,16 @@
         tickets.remove(place);
     }
 
-    Ticket takeOldest() {
+    Place oldest() {
+        return tickets.firstKey();
+    }
+
+    Ticket ticketAt(Place place) {
+        return tickets.get(place);
+    }
+
+    void startRunning() {
         running++;
-        return tickets.pollFirstEntry().getValue();
     }
 
     Ticket takeNewest() {
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -124,16 +124,25 @@
     /** Removes the ticket whose turn it is and charges its estimate. The rank must have waiting tickets. */
     Ticket take(long nowNanos) {
         CustomerQueue customer = byTurn.first();
-        detach(customer);
         clock = Math.max(clock, customer.virtualTime());
-        Ticket ticket = customer.takeOldest();
+        CustomerQueue.Place place = customer.oldest();
+        Ticket ticket = customer.ticketAt(place);
+        take(place, ticket, nowNanos);
+        forgetIdle();
+        return ticket;
+    }
+
+    /** Removes a ticket out of turn and charges its estimate. */
+    void take(CustomerQueue.Place place, Ticket ticket, long nowNanos) {
+        CustomerQueue customer = customers.get(ticket.customer());
+        detach(customer);
+        customer.remove(place);
+        customer.startRunning();
         customer.charge(ticket.estimatedTokens());
         waiting--;
         running++;
         attach(customer);
         rate.recordPoll(nowNanos);
-        forgetIdle();
-        return ticket;
     }
 
     /** Ends a running ticket and replaces the estimate charged for it by its true cost. */
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -97,7 +97,18 @@
         if (urgent == null) {
             return Optional.empty();
         }
-        return Optional.of(take(owed == null ? urgent : owed, nowNanos));
+        return Optional.of(takeNext(owed == null ? urgent : owed, nowNanos));
+    }
+
+    @Override
+    public Optional<Ticket> take(String requestId, long nowNanos) {
+        Waiting place = waiting.remove(requestId);
+        if (place == null) {
+            return Optional.empty();
+        }
+        place.rank().take(place.place(), place.ticket(), nowNanos);
+        running.put(requestId, place.rank());
+        return Optional.of(place.ticket());
     }
 
     @Override
@@ -129,7 +140,7 @@
         waiting.put(ticket.requestId(), new Waiting(rank, place, ticket));
     }
 
-    private Ticket take(RankQueue rank, long nowNanos) {
+    private Ticket takeNext(RankQueue rank, long nowNanos) {
         Ticket ticket = rank.take(nowNanos);
         waiting.remove(ticket.requestId());
         running.put(ticket.requestId(), rank);
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/SharePreservingPreemption.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/SharePreservingPreemption.java
@@ -9,10 +9,14 @@
 import org.masticcroft.kernel.config.RankConfig;
 
 /**
- * Lets the most urgent rank preempt the least urgent one that runs on more slots than its guaranteed share. The newest
- * of its tickets is preempted, because it has the least progress to lose.
+ * Lets a rank preempt the least urgent one that runs on more slots than its guaranteed share, and within a rank lets a
+ * customer preempt one that runs on more than twice as many slots per weight. The newest ticket is preempted, because
+ * it has the least progress to lose.
  */
 public final class SharePreservingPreemption implements PreemptionPolicy {
+    /** Hysteresis: customers with similar numbers of slots do not preempt each other in turn. */
+    private static final double MAX_UNFAIRNESS = 2;
+
     /** Creates the plug-in; used by the service loader. */
     public SharePreservingPreemption() {}
 
@@ -23,21 +27,37 @@
 
     @Override
     public Optional<Ticket> victim(Ticket waiting, List<Ticket> running, SortedMap<String, RankConfig> ranks) {
-        RankConfig urgent = ranks.get(waiting.rank());
-        if (urgent == null || ranks.values().stream().anyMatch(rank -> rank.order() < urgent.order())) {
+        RankConfig own = ranks.get(waiting.rank());
+        if (own == null) {
             return Optional.empty();
         }
-        Map<String, Integer> slots = new HashMap<>();
-        running.forEach(ticket -> slots.merge(ticket.rank(), 1, Integer::sum));
+        Map<String, Integer> byRank = new HashMap<>();
+        Map<String, Integer> byCustomer = new HashMap<>();
+        for (Ticket ticket : running) {
+            byRank.merge(ticket.rank(), 1, Integer::sum);
+            byCustomer.merge(ticket.rank() + '/' + ticket.customer(), 1, Integer::sum);
+        }
+        double fair = (slotsOf(waiting, byCustomer) + 1) / weightOf(waiting);
         return running.stream()
-                .filter(ticket -> isAboveShare(ranks.get(ticket.rank()), urgent, slots.get(ticket.rank()), running))
+                .filter(ticket -> ticket.rank().equals(waiting.rank())
+                        ? slotsOf(ticket, byCustomer) / weightOf(ticket) > MAX_UNFAIRNESS * fair
+                        : isAboveShare(ranks.get(ticket.rank()), own, byRank.get(ticket.rank()), running.size()))
                 .max(Comparator.comparingInt((Ticket ticket) -> orderOf(ranks.get(ticket.rank())))
+                        .thenComparingDouble(ticket -> slotsOf(ticket, byCustomer) / weightOf(ticket))
                         .thenComparingLong(Ticket::arrivalNanos)
                         .thenComparing(Ticket::requestId));
     }
 
-    private static boolean isAboveShare(RankConfig rank, RankConfig urgent, int slots, List<Ticket> running) {
-        return rank == null || rank.order() > urgent.order() && slots - 1 >= rank.share() * running.size();
+    private static boolean isAboveShare(RankConfig rank, RankConfig own, int slots, int allSlots) {
+        return rank == null || rank.order() > own.order() && slots - 1 >= rank.share() * allSlots;
+    }
+
+    private static double slotsOf(Ticket ticket, Map<String, Integer> byCustomer) {
+        return byCustomer.getOrDefault(ticket.rank() + '/' + ticket.customer(), 0);
+    }
+
+    private static double weightOf(Ticket ticket) {
+        return ticket.weight() > 0 ? ticket.weight() : 1;
     }
 
     private static int orderOf(RankConfig rank) {
