Preempt on the engine that the chooser prefers

Cause: during a flood the only free slot is the preempted one, so urgent requests lost their cached prefix. Ruled out: a reserve of free slots; it wastes capacity. Change: the replay asks for a victim on the preferred engine first.

--- a/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticcroft.experiments.replay.EngineFake;
@@ -22,7 +23,6 @@
 import org.masticcroft.kernel.config.RankConfig;
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.plugin.PluginRegistry;
-import org.masticcroft.kernel.routing.Choice;
 import org.masticcroft.kernel.routing.RoutingRequest;
 import org.masticcroft.kernel.routing.UpstreamChooser;
 import org.masticcroft.kernel.routing.UpstreamLoad;
@@ -132,29 +132,40 @@
 
     private void start(Ticket ticket) {
         TraceRequest request = served.get(ticket.requestId()).request();
-        List<UpstreamLoad> free = engines.values().stream()
-                .filter(EngineFake::hasFreeSlot)
+        EngineFake engine = engines.get(choose(request, EngineFake::hasFreeSlot));
+        running.put(request.id(), new Running(ticket, engine, false));
+        engine.start(request, served.get(request.id()).delivered(), new Listener(ticket));
+    }
+
+    private String choose(TraceRequest request, Predicate<EngineFake> usable) {
+        List<UpstreamLoad> loads = engines.values().stream()
+                .filter(usable)
                 .map(engine ->
                         new UpstreamLoad(engine.name(), engine.slots(), engine.inFlight(), engine.inFlight(), 0, true))
                 .toList();
         RoutingRequest routing =
                 new RoutingRequest(request.id(), request.prefix(), request.estimatedTokens(), Set.of());
-        Choice choice = chooser.choose(routing, free, random).orElseThrow();
-        EngineFake engine = engines.get(choice.upstream());
-        running.put(request.id(), new Running(ticket, engine, false));
-        engine.start(request, served.get(request.id()).delivered(), new Listener(ticket));
+        return chooser.choose(routing, loads, random).orElseThrow().upstream();
     }
 
+    /** Preempts on the engine that the chooser prefers, where the prefix may be cached, and elsewhere if need be. */
     private void preemptFor(Ticket waiting) {
-        List<Ticket> candidates = running.values().stream()
-                .filter(run -> !run.leaving())
+        String preferred = choose(served.get(waiting.requestId()).request(), engine -> !engine.isDead());
+        Optional<Ticket> onPreferred = preemption.victim(waiting, candidates(preferred::equals), ranks);
+        onPreferred
+                .or(() -> preemption.victim(waiting, candidates(name -> true), ranks))
+                .ifPresent(victim -> {
+                    Running run = running.get(victim.requestId());
+                    running.put(victim.requestId(), new Running(run.ticket(), run.engine(), true));
+                    loop.after(LINK_NANOS, () -> interrupt(victim, run.engine(), waiting));
+                });
+    }
+
+    private List<Ticket> candidates(Predicate<String> engines) {
+        return running.values().stream()
+                .filter(run -> !run.leaving() && engines.test(run.engine().name()))
                 .map(Running::ticket)
                 .toList();
-        preemption.victim(waiting, candidates, ranks).ifPresent(victim -> {
-            Running run = running.get(victim.requestId());
-            running.put(victim.requestId(), new Running(run.ticket(), run.engine(), true));
-            loop.after(LINK_NANOS, () -> interrupt(victim, run.engine(), waiting));
-        });
     }
 
     /** Frees a slot and gives it to the request that asked for it, if that one still waits. */
