Add the experiments on choice of upstream and placement

Cause: the chooser and the placement planner had not been measured. Change: several entries choose at once with reports 2 s old, against an all-knowing chooser; engines move to a new version by the planner's steps. Ruled out: a bound on the time average per engine; it hides swings, so the bound applies to the mean of busiest/mean over all samples of 100 ms.

--- a/experiments/src/main/java/org/masticcroft/experiments/Experiments.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/Experiments.java
@@ -1,6 +1,8 @@
 package org.masticcroft.experiments;
 
 import java.util.List;
+import org.masticcroft.experiments.choice.ChoiceExperiment;
+import org.masticcroft.experiments.placement.PlacementExperiment;
 import org.masticcroft.experiments.serving.FairnessExperiment;
 import org.masticcroft.experiments.serving.PreemptionExperiment;
 import org.masticcroft.experiments.serving.RankExperiment;
@@ -11,6 +13,11 @@
 
     /** Returns one experiment per decision. */
     public static List<Experiment> all() {
-        return List.of(new RankExperiment(), new FairnessExperiment(), new PreemptionExperiment());
+        return List.of(
+                new RankExperiment(),
+                new FairnessExperiment(),
+                new PreemptionExperiment(),
+                new ChoiceExperiment(),
+                new PlacementExperiment());
     }
 }
