--- a/kernel/src/main/java/org/masticcroft/kernel/routing/PrefixAffinityChooser.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/routing/PrefixAffinityChooser.java
@@ -14,13 +14,7 @@
     static final double LOAD_BOUND = 1.25;
 
     /** Number of candidates in rendezvous order that are tried before the choice falls back to two random ones. */
-    static final int MAX_PREFERRED = 8;
-
-    /**
-     * Part of the mean load below the bound over which the probability of a choice falls from 1 to 0. Reports are old,
-     * so a sharp bound would send the requests of all entries to one upstream until the next report.
-     */
-    private static final double SOFT_RANGE = 0.5;
+    static final int MAX_PREFERRED = 4;
 
     /** Creates the plug-in; used by the service loader. */
     public PrefixAffinityChooser() {}
@@ -40,10 +34,10 @@
         if (request.prefixHash() == 0) {
             return Optional.of(lessLoadedOfTwo(permitted, random, "no-prefix"));
         }
-        double mean = meanPerSlot(permitted);
+        double bound = boundPerSlot(permitted);
         UpstreamLoad[] preferred = preferred(request.prefixHash(), permitted);
         for (int place = 0; place < preferred.length; place++) {
-            if (isAccepted(mean, preferred[place], random)) {
+            if (isWithin(bound, preferred[place])) {
                 String reason = place == 0 ? name() : "affinity-overflow";
                 return Optional.of(new Choice(preferred[place].upstream(), reason));
             }
@@ -51,21 +45,19 @@
         return Optional.of(lessLoadedOfTwo(permitted, random, "two-choices"));
     }
 
-    private static double meanPerSlot(List<UpstreamLoad> candidates) {
+    private static double boundPerSlot(List<UpstreamLoad> candidates) {
         long inFlight = 0;
         long slots = 0;
         for (UpstreamLoad load : candidates) {
             inFlight += Loads.inFlight(load);
             slots += Math.max(1, load.slots());
         }
-        return (double) inFlight / slots;
+        return LOAD_BOUND * (inFlight + 1) / slots;
     }
 
-    /** An idle upstream is always accepted. */
-    private static boolean isAccepted(double meanPerSlot, UpstreamLoad load, UniformRandomProvider random) {
-        double relative = Loads.inFlight(load) == 0 ? 0 : Loads.perSlot(load) / meanPerSlot;
-        double probability = (LOAD_BOUND - relative) / SOFT_RANGE;
-        return probability >= 1 || probability > 0 && random.nextDouble() < probability;
+    /** The bound is rounded up to a whole request, so that an idle fleet accepts the first ones. */
+    private static boolean isWithin(double boundPerSlot, UpstreamLoad load) {
+        return Loads.inFlight(load) + 1 <= Math.ceil(boundPerSlot * Math.max(1, load.slots()));
     }
 
     /** Returns the candidates with the highest scores, best first. */
