Add the experiments on retries and rollout

Cause: the retry policy, its budget and the fetch planner had not been measured. A change of speed of the fake engine applies to running requests too; before, requests that began in a brown-out held their slots long after it. Ruled out: busy refusals without delay; the baseline then retries a thousand times a second per request.

--- a/experiments/src/main/java/org/masticcroft/experiments/Experiments.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/Experiments.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.masticcroft.experiments.choice.ChoiceExperiment;
 import org.masticcroft.experiments.placement.PlacementExperiment;
+import org.masticcroft.experiments.retry.RetryExperiment;
+import org.masticcroft.experiments.rollout.RolloutExperiment;
 import org.masticcroft.experiments.serving.FairnessExperiment;
 import org.masticcroft.experiments.serving.PreemptionExperiment;
 import org.masticcroft.experiments.serving.RankExperiment;
@@ -18,6 +20,8 @@
                 new FairnessExperiment(),
                 new PreemptionExperiment(),
                 new ChoiceExperiment(),
-                new PlacementExperiment());
+                new PlacementExperiment(),
+                new RetryExperiment(),
+                new RolloutExperiment());
     }
 }
--- a/experiments/src/main/java/org/masticcroft/experiments/replay/EngineFake.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/replay/EngineFake.java
@@ -8,8 +8,7 @@
 import org.masticcroft.experiments.trace.TraceRequest;
 
 /**
- * Fake of an engine: a number of slots, a fixed time per token, and a bounded cache of prompt prefixes. A change of
- * speed affects requests that start after it.
+ * Fake of an engine: a number of slots, a fixed time per token, and a bounded cache of prompt prefixes.
  */
 public final class EngineFake {
     private static final int CACHED_PREFIXES = 48;
@@ -69,9 +68,26 @@
         return lookups;
     }
 
-    /** Sets the factor by which all times are longer than usual. */
+    /** Sets the factor by which all times are longer than usual, for running requests too. */
     public void slowDown(double factor) {
+        double ratio = factor / slowness;
         slowness = factor;
+        for (Map.Entry<String, Run> entry : List.copyOf(running.entrySet())) {
+            Run run = entry.getValue();
+            int produced = run.producedBy(loop.now());
+            boolean begun = produced > 0;
+            double tokenNanos = run.tokenNanos() * ratio;
+            double next = begun ? loop.now() + tokenNanos : loop.now() + (run.firstNanos() - loop.now()) * ratio;
+            schedule(
+                    entry.getKey(),
+                    new Run(
+                            run.listener(),
+                            next,
+                            tokenNanos,
+                            run.tokens() - produced,
+                            run.before() + produced,
+                            run.begun() || begun));
+        }
     }
 
     /**
@@ -95,16 +111,19 @@
         double joins = running.isEmpty() ? loop.now() : Math.ceil(loop.now() / tokenNanos) * tokenNanos;
         double first = joins + prefill * Deployment.PREFILL_MILLIS * NANOS_PER_MILLI * slowness + tokenNanos;
         int tokens = request.outputTokens() - done;
-        Run run = new Run(listener, first, tokenNanos, tokens);
-        running.put(request.id(), run);
-        loop.at((long) first, () -> {
-            if (running.get(request.id()) == run) {
-                listener.onFirstToken();
+        schedule(request.id(), new Run(listener, first, tokenNanos, tokens, 0, false));
+    }
+
+    private void schedule(String id, Run run) {
+        running.put(id, run);
+        loop.at((long) run.firstNanos(), () -> {
+            if (running.get(id) == run && !run.begun()) {
+                run.listener().onFirstToken();
             }
         });
-        loop.at((long) (first + (tokens - 1) * tokenNanos), () -> {
-            if (running.remove(request.id(), run)) {
-                listener.onEnd(tokens);
+        loop.at((long) (run.firstNanos() + (run.tokens() - 1) * run.tokenNanos()), () -> {
+            if (running.remove(id, run)) {
+                run.listener().onEnd(run.before() + run.tokens());
             }
         });
     }
@@ -117,8 +136,7 @@
     /** Stops a running request and returns the tokens that it has produced. */
     public int cancel(String requestId) {
         Run run = running.remove(requestId);
-        double steps = Math.floor((loop.now() - run.firstNanos()) / run.tokenNanos() + 1e-6);
-        return (int) Math.max(0, Math.min(run.tokens(), steps + 1));
+        return run.before() + run.producedBy(loop.now());
     }
 
     /** Ends the engine; all running requests fail and the cache is lost. */
@@ -156,5 +174,10 @@
         void onFailure();
     }
 
-    private record Run(Listener listener, double firstNanos, double tokenNanos, int tokens) {}
+    private record Run(Listener listener, double firstNanos, double tokenNanos, int tokens, int before, boolean begun) {
+        private int producedBy(long nowNanos) {
+            double steps = Math.floor((nowNanos - firstNanos) / tokenNanos + 1e-6);
+            return (int) Math.max(0, Math.min(tokens, steps + 1));
+        }
+    }
 }
