--- a/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/serving/ServingReplay.java
@@ -1,6 +1,5 @@
 package org.masticcroft.experiments.serving;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticcroft.experiments.replay.EngineFake;
@@ -23,7 +23,6 @@
 import org.masticcroft.kernel.config.RankConfig;
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.plugin.PluginRegistry;
-import org.masticcroft.kernel.routing.Choice;
 import org.masticcroft.kernel.routing.RoutingRequest;
 import org.masticcroft.kernel.routing.UpstreamChooser;
 import org.masticcroft.kernel.routing.UpstreamLoad;
@@ -133,35 +132,49 @@
 
     private void start(Ticket ticket) {
         TraceRequest request = served.get(ticket.requestId()).request();
-        List<UpstreamLoad> free = engines.values().stream()
-                .filter(EngineFake::hasFreeSlot)
+        EngineFake engine = engines.get(choose(request, EngineFake::hasFreeSlot));
+        running.put(request.id(), new Running(ticket, engine, false));
+        engine.start(request, served.get(request.id()).delivered(), new Listener(ticket));
+    }
+
+    private String choose(TraceRequest request, Predicate<EngineFake> usable) {
+        List<UpstreamLoad> loads = engines.values().stream()
+                .filter(usable)
                 .map(engine ->
                         new UpstreamLoad(engine.name(), engine.slots(), engine.inFlight(), engine.inFlight(), 0, true))
                 .toList();
         RoutingRequest routing =
                 new RoutingRequest(request.id(), request.prefix(), request.estimatedTokens(), Set.of());
-        Choice choice = chooser.choose(routing, free, random).orElseThrow();
-        EngineFake engine = engines.get(choice.upstream());
-        running.put(request.id(), new Running(ticket, engine, false));
-        engine.start(request, served.get(request.id()).delivered(), new Listener(ticket));
+        return chooser.choose(routing, loads, random).orElseThrow().upstream();
     }
 
+    /** Preempts on the engine that the chooser prefers, where the prefix may be cached, and elsewhere if need be. */
     private void preemptFor(Ticket waiting) {
-        List<Ticket> candidates = new ArrayList<>();
-        running.values().stream().filter(run -> !run.leaving()).forEach(run -> candidates.add(run.ticket()));
-        preemption.victim(waiting, candidates, ranks).ifPresent(victim -> {
-            Running run = running.get(victim.requestId());
-            running.put(victim.requestId(), new Running(run.ticket(), run.engine(), true));
-            long boundary = Math.max(loop.now() + LINK_NANOS, run.engine().nextTokenNanos(victim.requestId()));
-            loop.at(boundary, () -> interrupt(victim, run.engine()));
-        });
+        String preferred = choose(served.get(waiting.requestId()).request(), engine -> !engine.isDead());
+        Optional<Ticket> onPreferred = preemption.victim(waiting, candidates(preferred::equals), ranks);
+        onPreferred
+                .or(() -> preemption.victim(waiting, candidates(name -> true), ranks))
+                .ifPresent(victim -> {
+                    Running run = running.get(victim.requestId());
+                    running.put(victim.requestId(), new Running(run.ticket(), run.engine(), true));
+                    loop.after(LINK_NANOS, () -> interrupt(victim, run.engine(), waiting));
+                });
+    }
+
+    private List<Ticket> candidates(Predicate<String> engines) {
+        return running.values().stream()
+                .filter(run -> !run.leaving() && engines.test(run.engine().name()))
+                .map(Running::ticket)
+                .toList();
     }
 
-    private void interrupt(Ticket victim, EngineFake engine) {
+    /** Frees a slot and gives it to the request that asked for it, if that one still waits. */
+    private void interrupt(Ticket victim, EngineFake engine, Ticket waiting) {
         if (engine.isRunning(victim.requestId())) {
             resumeLater(victim, engine.cancel(victim.requestId()));
-            pump();
+            queue.take(waiting.requestId(), loop.now()).ifPresent(this::start);
         }
+        pump();
     }
 
     private void resumeLater(Ticket ticket, int produced) {
@@ -181,14 +194,9 @@
                 loop.now());
     }
 
+    /** Charges what an attempt used; the prompt counts once, because a resumed request finds it cached. */
     private void charge(Ticket ticket, int tokens) {
-        queue.finish(ticket, ticket.estimatedTokens() == 0 ? 0 : tokens + promptOf(ticket), loop.now());
-    }
-
-    /** A resumed request is not charged for its prompt again. */
-    private int promptOf(Ticket ticket) {
-        Served result = served.get(ticket.requestId());
-        return result.interruptions() <= 1 ? result.request().promptTokens() : 0;
+        queue.finish(ticket, tokens + served.get(ticket.requestId()).takePromptTokens(), loop.now());
     }
 
     /** Names of the decision implementations of a replay. */
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -22,7 +22,7 @@
     private final ServiceRate rate = new ServiceRate();
     private double clock;
     private double waitingWeight;
-    private double credit;
+    private int running;
     private int waiting;
 
     private RankQueue(RankConfig config) {
@@ -45,24 +45,24 @@
         return waiting >= config.queueLimit();
     }
 
-    /** Returns the tokens that the rank may still take before more urgent ranks to reach its guaranteed share. */
-    double credit() {
-        return credit;
-    }
-
-    /** Grants the guaranteed share of {@code tokens} served by any rank. */
-    void accrue(double tokens) {
-        credit += tokens * config.share();
-    }
-
-    /** Charges service that used the guarantee. */
-    void debit(double tokens) {
-        credit -= tokens;
+    /**
+     * Returns whether a customer holds its part of the queue: more places per weight than are free. A lone one gets
+     * half of the queue, and newcomers find room without displacing a ticket that already waits.
+     */
+    boolean isFullFor(Ticket ticket) {
+        CustomerQueue customer = customers.get(ticket.customer());
+        return customer != null
+                && customer.size() > 0
+                && customer.length() >= Math.max(0, config.queueLimit() - waiting);
     }
 
-    /** Counts service that used free capacity; it satisfies an open claim but leaves no debt. */
-    void satisfy(double tokens) {
-        credit = Math.max(credit - tokens, Math.min(credit, 0));
+    /**
+     * Returns how many running tickets the rank lacks to its guaranteed share.
+     *
+     * @param totalRunning running tickets of all ranks
+     */
+    double lacking(int totalRunning) {
+        return config.share() * (totalRunning + 1) - running;
     }
 
     /** Returns the expected wait of a new ticket of a customer; zero if there is no estimate. */
@@ -124,19 +124,30 @@
     /** Removes the ticket whose turn it is and charges its estimate. The rank must have waiting tickets. */
     Ticket take(long nowNanos) {
         CustomerQueue customer = byTurn.first();
-        detach(customer);
         clock = Math.max(clock, customer.virtualTime());
-        Ticket ticket = customer.takeOldest();
+        CustomerQueue.Place place = customer.oldest();
+        Ticket ticket = customer.ticketAt(place);
+        take(place, ticket, nowNanos);
+        forgetIdle();
+        return ticket;
+    }
+
+    /** Removes a ticket out of turn and charges its estimate. */
+    void take(CustomerQueue.Place place, Ticket ticket, long nowNanos) {
+        CustomerQueue customer = customers.get(ticket.customer());
+        detach(customer);
+        customer.remove(place);
+        customer.startRunning();
         customer.charge(ticket.estimatedTokens());
         waiting--;
+        running++;
         attach(customer);
         rate.recordPoll(nowNanos);
-        forgetIdle();
-        return ticket;
     }
 
-    /** Replaces the estimate charged for a ticket by its true cost. */
-    void correct(Ticket ticket, int actualTokens) {
+    /** Ends a running ticket and replaces the estimate charged for it by its true cost. */
+    void finish(Ticket ticket, int actualTokens) {
+        running--;
         CustomerQueue customer = customers.get(ticket.customer());
         if (customer == null) {
             return;
