--- a/harness/src/main/java/org/masticcroft/harness/load/LoadDriver.java
+++ b/harness/src/main/java/org/masticcroft/harness/load/LoadDriver.java
@@ -23,6 +23,7 @@
     private final LoadSummary summary = LoadSummary.empty();
     private final Phaser outstanding = new Phaser(1);
     private final ScheduledExecutorService scheduler;
+    private final HttpClient client;
     private final Caller caller;
 
     private LoadDriver(LoadSettings settings, String run, HistoryWriter history) {
@@ -30,7 +31,7 @@
         this.run = run;
         this.generator = RequestGenerator.of(settings, run);
         this.scheduler = Executors.newScheduledThreadPool(2, daemons());
-        HttpClient client = HttpClient.newBuilder()
+        this.client = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
                 .connectTimeout(settings.timeout())
                 .executor(Executors.newFixedThreadPool(CLIENT_THREADS, daemons()))
@@ -45,6 +46,7 @@
 
     /** Runs the load and returns its summary. */
     public LoadSummary run() throws InterruptedException {
+        WarmUp.run(client);
         long start = System.nanoTime();
         PlannedRequest next = generator.next();
         while (next.atNanos() < settings.duration().toNanos()) {
--- a/harness/src/main/java/org/masticcroft/harness/load/LoadSummary.java
+++ b/harness/src/main/java/org/masticcroft/harness/load/LoadSummary.java
@@ -82,7 +82,7 @@
         return json;
     }
 
-    /** Returns the class of an outcome: ok, refused (not run), unknown (may have run), or how it failed. */
+    /** Returns the class of an outcome; a duplicate is an order that already ran or may have run. */
     static String classify(Outcome outcome) {
         if (outcome.isSuccess()) {
             return "ok";
@@ -93,6 +93,9 @@
         if (outcome.isNotRun()) {
             return "refused " + outcome.status();
         }
+        if (outcome.status() == 409) {
+            return "duplicate";
+        }
         return outcome.status() == 200 ? "incomplete" : "failed " + outcome.status();
     }
 
