Attribute requests that are cut off during a planned stop

Wrong: a request to a stopping entry that failed because of a fault injected into its engine counted against the stop, and one that failed with the verdict RAN did not count at all. Ruled out: leaving out all requests during a fault, which would hide real interruptions; a connection that the stopping entry itself broke always counts unless a fault of that entry is marked. Change: faults marked with fault-begin and fault-end explain failures of the named upstream or entry, by overlap with the request's time. Failures after execution count with any verdict but NOT_RUN. Conclusion: scripts that inject faults during planned stops should mark them.

--- a/harness/src/main/java/org/masticcroft/harness/check/GracefulStop.java
+++ b/harness/src/main/java/org/masticcroft/harness/check/GracefulStop.java
@@ -9,17 +9,22 @@
 /**
  * Invariant 6: a planned stop cuts off no request in progress.
  *
- * <p>A request is cut off if its connection broke, its response ended early, or its caller was told that it may have
- * run. It counts against a stop if it ended during the stop and concerns the stopping entry or upstream. In the stop of
- * an upstream, a cut-off request of unknown upstream counts as well, unless an unplanned fault was marked at that time.
- * A request that was sent after the stop began and of which nothing was seen, neither a byte of the response nor an
- * execution, was not yet in progress.
+ * <p>A request is cut off if its connection broke, its response ended early, or it failed after it may have run. It
+ * counts against a stop if it ended during the stop and concerns the stopping entry or upstream; in the stop of an
+ * upstream, a cut-off request of unknown upstream counts as well. It does not count if a marked fault explains it: one
+ * of its entry, or, unless the connection to the entry broke, one of its upstream or any if that is unknown. A request
+ * that was sent after the stop began and of which nothing was seen, neither a byte of the response nor an execution,
+ * was not yet in progress.
  */
 public final class GracefulStop implements Invariant {
     private record Window(String name, long beginMs, long endMs) {
         private boolean contains(long timeMs) {
             return timeMs >= beginMs && timeMs <= endMs;
         }
+
+        private boolean overlaps(long fromMs, long toMs) {
+            return fromMs <= endMs && toMs >= beginMs;
+        }
     }
 
     @Override
@@ -45,7 +50,8 @@
                             finding.countCase();
                             if (isCutOff(outcome)
                                     && wasInProgress(evidence, request, outcome, stop)
-                                    && concerns(request, outcome, stop, faults)) {
+                                    && concerns(request, outcome, stop)
+                                    && faults.stream().noneMatch(fault -> isExplained(request, outcome, stop, fault))) {
                                 finding.add(Violation.of(
                                         request,
                                         "cut off during the planned stop of " + stop.name() + ": "
@@ -58,17 +64,18 @@
     }
 
     private static boolean isCutOff(Outcome outcome) {
-        boolean endedEarly = outcome.status() == 200 && !outcome.complete() && !isTimeout(outcome);
-        boolean mayHaveRun = outcome.verdict().equals("MAY_HAVE_RUN") && !isRefusalOrDeadline(outcome);
-        return outcome.error().equals(Outcome.BROKEN) || endedEarly || mayHaveRun;
+        boolean wasRefused = outcome.isNotRun() && outcome.answer().isEmpty();
+        boolean endedEarly = outcome.status() == 200 && !outcome.complete() && !isTimeout(outcome) && !wasRefused;
+        boolean failedAfterRun = isFailure(outcome) && !outcome.verdict().isEmpty() && !outcome.isNotRun();
+        return outcome.error().equals(Outcome.BROKEN) || endedEarly || failedAfterRun;
     }
 
     /**
-     * A re-sent order is refused with MAY_HAVE_RUN while its first copy runs, and a request may reach its deadline;
-     * nothing of either was interrupted.
+     * Refusals of re-sent orders (409) and requests that reached their deadline (504) are no failures here; nothing of
+     * them was interrupted.
      */
-    private static boolean isRefusalOrDeadline(Outcome outcome) {
-        return outcome.status() == 409 || outcome.status() == 504;
+    private static boolean isFailure(Outcome outcome) {
+        return outcome.status() >= 500 && outcome.status() != 504;
     }
 
     private static boolean isTimeout(Outcome outcome) {
@@ -81,13 +88,24 @@
                 || !evidence.executions(request).isEmpty();
     }
 
-    private static boolean concerns(Request request, Outcome outcome, Window stop, List<Window> faults) {
-        if (request.invoke().entry().equals(stop.name()) || outcome.upstream().equals(stop.name())) {
-            return true;
-        }
-        return !isAddress(stop.name())
-                && outcome.upstream().isEmpty()
-                && faults.stream().noneMatch(fault -> fault.contains(outcome.timeMs()));
+    private static boolean concerns(Request request, Outcome outcome, Window stop) {
+        return isOfEntry(request, stop)
+                || outcome.upstream().equals(stop.name())
+                || outcome.upstream().isEmpty() && !isAddress(stop.name());
+    }
+
+    private static boolean isExplained(Request request, Outcome outcome, Window stop, Window fault) {
+        boolean isBroken = outcome.error().equals(Outcome.BROKEN);
+        boolean mayBeOfUpstream =
+                outcome.upstream().isEmpty() || outcome.upstream().equals(fault.name());
+        boolean isOfUpstream = mayBeOfUpstream
+                && (!isBroken || !isOfEntry(request, stop) && outcome.upstream().isEmpty());
+        return fault.overlaps(request.invoke().timeMs(), outcome.timeMs())
+                && (isOfEntry(request, fault) || isOfUpstream);
+    }
+
+    private static boolean isOfEntry(Request request, Window window) {
+        return request.invoke().entry().equals(window.name());
     }
 
     /** Entries are named by their address; a request to another entry has nothing to do with the stop of one. */
--- a/harness/src/test/java/org/masticcroft/harness/check/InvariantsTest.java
+++ b/harness/src/test/java/org/masticcroft/harness/check/InvariantsTest.java
@@ -209,6 +209,29 @@
             assertViolated(history.check(new GracefulStop()), "MAY_HAVE_RUN");
         }
 
+        @Test
+        void findsABrokenConnectionToTheStoppingEntryDuringAFaultElsewhere() {
+            history.mark("stop-begin", "127.0.0.1:1", 1_000).mark("fault-begin", "e1", 900);
+            history.chat("a", 900).outcome("a", 2_000, BROKEN);
+            history.chat("b", 900).outcome("b", 2_000, "{\"error\":\"broken\",\"complete\":false}");
+            assertThat(history.check(new GracefulStop()).violations()).hasSize(2);
+        }
+
+        @Test
+        void leavesOutAnErrorOfAFaultyUpstreamAtTheStoppingEntry() {
+            history.mark("stop-begin", "127.0.0.1:1", 1_000).mark("fault-begin", "e1", 950);
+            history.mark("fault-end", "e1", 1_500);
+            history.chat("a", 900).outcome("a", 2_000, "{\"status\":502,\"verdict\":\"MAY_HAVE_RUN\"}");
+            assertHolds(history.check(new GracefulStop()));
+        }
+
+        @Test
+        void findsAnErrorOfAnotherUpstreamThanTheFaultyOne() {
+            history.mark("stop-begin", "127.0.0.1:1", 1_000).mark("fault-begin", "e2", 950);
+            history.chat("a", 900).outcome("a", 2_000, "{\"status\":502,\"verdict\":\"RAN\"}");
+            assertViolated(history.check(new GracefulStop()), "RAN");
+        }
+
         @Test
         void leavesOutRequestsOfUnknownUpstreamDuringAnotherFault() {
             history.mark("stop-begin", "e1", 1_000)
