Check the lease before a fetch; hide weights about to be unloaded

Wrong before: a holder that was replaced learned it only at its next command and could fill the staging area with its outdated target before. It now reads the tail of the leases when it starts a fetch. Weights whose unload waits for running requests were still reported as ready, which costs entries a refused attempt each.

--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/ChunkFetcher.java
@@ -75,11 +75,6 @@
         this.stagingBlockedUntilNanos = storeBlockedUntilNanos;
     }
 
-    /** Returns the weights that are being fetched. */
-    public synchronized Optional<WeightsDigest> current() {
-        return Optional.ofNullable(target).map(Target::digest);
-    }
-
     /** Returns the verified and staged chunks of the weights that are being fetched. */
     public synchronized Optional<BitSet> held(WeightsDigest digest) {
         return job != null && job.manifest.digest().equals(digest)
@@ -95,6 +90,11 @@
         target = newTarget;
     }
 
+    @Override
+    public synchronized boolean isFetching(WeightsDigest digest) {
+        return target != null && target.digest().equals(digest);
+    }
+
     @Override
     public synchronized void stop(String reason) {
         abandon(reason);
--- a/sidecar/src/main/java/org/masticcroft/sidecar/status/StatusReporter.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/status/StatusReporter.java
@@ -56,8 +56,8 @@
     private static void addWeights(StatusReply.Builder reply, WeightsSide side) {
         Optional<EngineState> state = side.monitor().latest();
         reply.setEngineIncarnation(state.map(EngineState::incarnation).orElse(""));
-        state.map(EngineState::loaded)
-                .orElse(List.of())
+        state.map(EngineState::loaded).orElse(List.of()).stream()
+                .filter(loaded -> !side.reconciler().isRetiring(loaded.digest()))
                 .forEach(loaded -> reply.addReady(ReadyModel.newBuilder()
                         .setModel(loaded.model())
                         .setVersion(loaded.version())
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/Reconciler.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/Reconciler.java
@@ -71,6 +71,11 @@
         return !targets.isEmpty() && targets.stream().allMatch(target -> monitor.isLoaded(target.digest()));
     }
 
+    /** Returns whether the weights take no new requests, because they are about to be unloaded. */
+    public boolean isRetiring(WeightsDigest digest) {
+        return use.isRetiring(digest);
+    }
+
     /** Runs one round. */
     public synchronized void run() {
         lease.maintain();
@@ -110,8 +115,8 @@
     }
 
     private boolean startFetch(WeightsDigest digest) {
-        // Chunks are put into the engine under the lease as well; see design 5.5.
-        if (lease.token().isPresent()) {
+        // A holder that was replaced must not fill the engine's memory with weights of its outdated target.
+        if (fetch.isFetching(digest) || lease.permit().isPresent()) {
             targets().stream()
                     .filter(target -> target.digest().equals(digest))
                     .findFirst()
@@ -237,6 +242,9 @@
         /** Fetches these weights; a fetch of others is abandoned. */
         void start(Target target);
 
+        /** Returns whether these weights are being fetched. */
+        boolean isFetching(WeightsDigest digest);
+
         /** Abandons the fetch in progress, if there is one. */
         void stop(String reason);
 
--- a/sidecar/src/test/java/org/masticcroft/sidecar/RolloutTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/RolloutTest.java
@@ -268,6 +268,7 @@
             old.run(SHORT);
             assertThat(old.lease.superseded()).isTrue();
             assertThat(fixture.engine.commands).containsExactly("load");
+            assertThat(fixture.engine.stagedChunks(digest(second))).isZero();
         }
 
         private Fixture.Sidecar successor;
