--- a/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
@@ -11,6 +11,13 @@
         name = "account",
         description = "Exports, verifies and summarises the audit account.",
         synopsisSubcommandLabel = "COMMAND",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:done",
+            "1:a problem was found",
+            "2:the command line is not valid",
+            "5:the platform is unavailable"
+        },
         subcommands = {
             AccountExportCommand.class,
             AccountVerifyCommand.class,
--- a/cli/src/main/java/org/masticcroft/cli/AccountExportCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountExportCommand.java
@@ -56,7 +56,7 @@
 
     @Override
     public Integer call() throws IOException {
-        try (Platform platform = settings.open(context)) {
+        try (Platform platform = settings.open(context, new SettingProblems())) {
             AccountExport.Progress written =
                     AccountExport.of(platform.log(), from, to, this::report).writeTo(file);
             output.print(
--- a/cli/src/main/java/org/masticcroft/cli/AccountNewKeyCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountNewKeyCommand.java
@@ -12,7 +12,9 @@
             "Generates a signing key for the writers of the account and prints it with its public key.",
             "The line 'secret' goes into MASTICCROFT_ACCOUNT_KEY of the processes; the rest of the line 'public' goes"
                     + " into the file that 'account verify --keys' reads. After a rotation that file keeps both keys."
-        })
+        },
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:printed", "2:the command line is not valid"})
 final class AccountNewKeyCommand implements Callable<Integer> {
     @Mixin
     private OutputOption output;
--- a/cli/src/main/java/org/masticcroft/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/ExplainCommand.java
@@ -57,7 +57,7 @@
     }
 
     private RequestTrail searchLog() {
-        try (Platform platform = settings.open(context)) {
+        try (Platform platform = settings.open(context, new SettingProblems())) {
             return RequestSearch.inLog(platform.log(), requestId);
         }
     }
