Use the kernel's circuit breaker and budget, and requeue and take of the admission queue

Wrong: the entry kept defaults of its own from before the merge; a preempted or busy request was offered like a new one and could be refused for the queue bound; for a place that only an urgent request may have, less urgent ones were taken out of the queue first. Change: the kernel's ConsecutiveFailureBreaker and SlidingRetryBudget; requests that were admitted before are put back with requeue; urgent ones are taken out of turn. Ruled out: the kernel's budget alone, because below ten first attempts in 10 s it permits no retry, so a request of a dead upstream would not be passed on at an entry with little traffic; an allowance of ten retries in 10 s is added. Conclusion: the decisions come from the kernel.

--- a/entry/src/main/java/org/masticcroft/entry/EntryModule.java
+++ b/entry/src/main/java/org/masticcroft/entry/EntryModule.java
@@ -18,7 +18,7 @@
 import org.masticcroft.entry.peer.PeerEntries;
 import org.masticcroft.entry.peer.StatusPoller;
 import org.masticcroft.entry.policy.Policies;
-import org.masticcroft.entry.policy.SlidingRetryBudget;
+import org.masticcroft.entry.policy.RetryAllowance;
 import org.masticcroft.entry.request.Intake;
 import org.masticcroft.entry.request.RateLimiter;
 import org.masticcroft.entry.request.Services;
@@ -27,13 +27,14 @@
 import org.masticcroft.entry.task.Timers;
 import org.masticcroft.entry.task.Workers;
 import org.masticcroft.entry.upstream.BreakerFactory;
-import org.masticcroft.entry.upstream.ConsecutiveFailureBreaker;
 import org.masticcroft.entry.upstream.DeploymentHistory;
 import org.masticcroft.entry.upstream.UpstreamTable;
 import org.masticcroft.entry.version.ConfigCatchUp;
 import org.masticcroft.entry.version.VersionGate;
+import org.masticcroft.kernel.breaker.ConsecutiveFailureBreaker;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.retry.RetryBudget;
+import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.platform.instance.InstanceList;
 import org.masticcroft.platform.log.LogService;
@@ -62,10 +63,10 @@
         bind(EntrySettings.class).toInstance(settings);
         OptionalBinder.newOptionalBinder(binder(), BreakerFactory.class)
                 .setDefault()
-                .toInstance(upstream -> ConsecutiveFailureBreaker.closed());
+                .toInstance(upstream -> ConsecutiveFailureBreaker.of());
         OptionalBinder.newOptionalBinder(binder(), RetryBudget.class)
                 .setDefault()
-                .toInstance(SlidingRetryBudget.empty());
+                .toInstance(RetryAllowance.above(SlidingRetryBudget.of()));
         OptionalBinder.newOptionalBinder(binder(), ConfigCatchUp.class)
                 .setDefault()
                 .toInstance(version -> {});
--- a/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
+++ b/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
@@ -170,11 +170,18 @@
                 policies.chooser(config.state().config().policies().chooser());
         long now = time.nanoTime();
         placeHeld(queue, chooser);
-        while (!queue.isHoldingFull() && upstreams.hasRoom(group, queue.hasUrgent()) && queue.pollToHeld(now)) {
+        while (!queue.isHoldingFull() && holdNext(group, queue, now)) {
             placeHeld(queue, chooser);
         }
     }
 
+    private boolean holdNext(String group, GroupQueue queue, long now) {
+        if (upstreams.hasRoom(group, false)) {
+            return queue.pollToHeld(now);
+        }
+        return queue.hasUrgent() && upstreams.hasRoom(group, true) && queue.takeUrgentToHeld(now);
+    }
+
     private void placeHeld(GroupQueue queue, UpstreamChooser chooser) {
         long now = time.nanoTime();
         for (GroupQueue.Held held : queue.held()) {
--- a/entry/src/main/java/org/masticcroft/entry/admission/GroupQueue.java
+++ b/entry/src/main/java/org/masticcroft/entry/admission/GroupQueue.java
@@ -28,9 +28,15 @@
         this.queue = queue;
     }
 
-    /** Offers a request and refuses those that the queue refuses or displaces. */
+    /** Offers a request, or puts one back that was admitted before. */
     void offer(Waiter waiter, long now) {
-        Admission admission = queue.offer(waiter.ticket(), now);
+        admit(
+                waiter,
+                waiter.admittedBefore() ? queue.requeue(waiter.ticket(), now) : queue.offer(waiter.ticket(), now));
+    }
+
+    /** Enters a request and refuses those that the queue refuses or displaces. */
+    private void admit(Waiter waiter, Admission admission) {
         if (admission instanceof Admission.Refused refused) {
             refuse(waiter, refused.code(), refused.retryAfter());
         } else if (admission instanceof Admission.Queued accepted) {
@@ -54,12 +60,27 @@
         List<Waiter> moved = List.copyOf(queued.values());
         queued.clear();
         queue = newQueue;
-        moved.forEach(waiter -> offer(waiter, now));
+        moved.forEach(waiter -> admit(waiter, queue.requeue(waiter.ticket(), now)));
     }
 
     /** Takes the next request out of the queue and holds it until it is placed. */
     boolean pollToHeld(long now) {
-        Optional<Ticket> ticket = queue.poll(now);
+        return hold(queue.poll(now), now);
+    }
+
+    /**
+     * Takes the oldest urgent request out of turn, for a place that only an urgent one may have. A queue that takes
+     * none out of turn is asked for its next request instead.
+     */
+    boolean takeUrgentToHeld(long now) {
+        Optional<Ticket> urgent = queued.values().stream()
+                .filter(waiter -> waiter.search().urgent())
+                .findFirst()
+                .flatMap(waiter -> queue.take(waiter.ticket().requestId(), now));
+        return urgent.isPresent() ? hold(urgent, now) : pollToHeld(now);
+    }
+
+    private boolean hold(Optional<Ticket> ticket, long now) {
         ticket.ifPresent(next -> {
             Waiter waiter = queued.remove(next.requestId());
             if (waiter == null) {
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -825,8 +825,8 @@
                     identity.customer(),
                     identity.weight(),
                     identity.rank(),
-                    spec.estimatedTokens(),
-                    admittedBefore ? services.time().nanoTime() : arrivalNanos);
+                    Math.max(1, spec.estimatedTokens() - tokensPassed),
+                    arrivalNanos);
             this.search = new Search(
                     target, pinned.map(Weights::digest), identity.rankOrder() == 0, excluded, upstream -> true);
         }
--- a/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
+++ b/entry/src/test/java/org/masticcroft/entry/EntryFixture.java
@@ -31,7 +31,7 @@
 import org.masticcroft.entry.peer.PeerEntries;
 import org.masticcroft.entry.peer.StatusPoller;
 import org.masticcroft.entry.policy.Policies;
-import org.masticcroft.entry.policy.SlidingRetryBudget;
+import org.masticcroft.entry.policy.RetryAllowance;
 import org.masticcroft.entry.request.AnswerHeaders;
 import org.masticcroft.entry.request.AnswerSink;
 import org.masticcroft.entry.request.CallerRequest;
@@ -43,10 +43,10 @@
 import org.masticcroft.entry.suspect.SuspectTable;
 import org.masticcroft.entry.task.SynchronizedRandom;
 import org.masticcroft.entry.task.Timers;
-import org.masticcroft.entry.upstream.ConsecutiveFailureBreaker;
 import org.masticcroft.entry.upstream.DeploymentHistory;
 import org.masticcroft.entry.upstream.UpstreamTable;
 import org.masticcroft.entry.version.VersionGate;
+import org.masticcroft.kernel.breaker.ConsecutiveFailureBreaker;
 import org.masticcroft.kernel.config.ConfigState;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.config.CustomerConfig;
@@ -61,6 +61,7 @@
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
+import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.ManualTimeSource;
 import org.masticcroft.kernel.verdict.Verdict;
 import org.masticcroft.platform.instance.Instance;
@@ -107,7 +108,7 @@
         EntrySettings settings = EntrySettings.of(self, "west", "dc-1");
         SynchronizedRandom random = SynchronizedRandom.of(RandomSource.XO_RO_SHI_RO_128_PP.create(7L));
         VersionGate versions = VersionGate.of(config, version -> {});
-        UpstreamTable upstreams = UpstreamTable.of(self, "west", time, upstream -> ConsecutiveFailureBreaker.closed());
+        UpstreamTable upstreams = UpstreamTable.of(self, "west", time, upstream -> ConsecutiveFailureBreaker.of());
         SuspectTable suspects = SuspectTable.of(time);
         Policies policies = Policies.minimal();
         services = new Services(
@@ -119,7 +120,7 @@
                 versions,
                 DeploymentHistory.empty(),
                 policies,
-                SlidingRetryBudget.empty(),
+                RetryAllowance.above(SlidingRetryBudget.of()),
                 random,
                 AdmissionGate.of(time, config, policies, upstreams, suspects, random),
                 upstreams,
