Test the allowance of retries

Missing: the bound of retries at little and at much traffic had no case. Change: two cases. Figures: 20 + 10 of 100 retries are permitted after 200 first attempts, 10 without any. Conclusion: retries stay bounded.

--- /dev/null
+++ b/entry/src/test/java/org/masticcroft/entry/policy/RetryAllowanceTest.java
@@ -0,0 +1,40 @@
+package org.masticcroft.entry.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.kernel.retry.RetryBudget;
+import org.masticcroft.kernel.retry.SlidingRetryBudget;
+
+class RetryAllowanceTest {
+    private final RetryBudget budget = RetryAllowance.above(SlidingRetryBudget.of());
+
+    private long permitted(int retries, long nowNanos) {
+        return IntStream.range(0, retries)
+                .filter(i -> budget.tryRetry(nowNanos))
+                .count();
+    }
+
+    @Nested
+    class Retries {
+        /** Guards against an entry with little traffic that passes no request of a dead upstream on. */
+        @Test
+        void arePermittedWithoutMuchTraffic() {
+            budget.recordFirstAttempt(0);
+            assertThat(budget.tryRetry(0)).isTrue();
+        }
+
+        /** Guards against a storm of retries while all upstreams fail. */
+        @Test
+        void areBoundedByShareAndAllowance() {
+            for (int i = 0; i < 200; i++) {
+                budget.recordFirstAttempt(0);
+            }
+            assertThat(permitted(100, 0)).isEqualTo(30);
+            assertThat(permitted(100, Duration.ofSeconds(11).toNanos())).isEqualTo(10);
+        }
+    }
+}
