Add tests of the policies; keep the only version if the new one never fits

Cause: the policies had no tests. The property test of the placement planner found that it unloaded the only loaded version although the wanted one is larger than the memory. Ruled out: accepting the interruption; nothing is gained by it.

--- a/kernel/src/main/java/org/masticcroft/kernel/placement/SideBySidePlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/placement/SideBySidePlanner.java
@@ -7,7 +7,9 @@
  * Brings wanted weights up beside the old ones and removes the old ones afterwards. Only if memory does not suffice are
  * unwanted weights removed first: staged ones, then idle ones, and as a last resort ones in use. The step that removes
  * weights in use has the reason {@code drain-for-memory}; whoever executes it first lets the running requests finish.
- * Weights count once towards the memory, whether staged, loaded or both.
+ * Nothing is removed
+ * for wanted weights that would not fit even then. Weights count once towards the memory, whether staged, loaded or
+ * both.
  */
 public final class SideBySidePlanner implements PlacementPlanner {
     /** Creates the plug-in; used by the service loader. */
@@ -21,15 +23,18 @@
     @Override
     public List<PlacementStep> plan(EngineView engine) {
         EngineState state = EngineState.of(engine);
+        boolean complete = true;
         for (EngineView.Weights wanted : engine.weights()) {
             if (has(wanted, EngineView.State.WANTED) && !has(wanted, EngineView.State.LOADED)) {
                 if (makeRoom(state, engine, wanted)) {
                     state.bringUp(wanted, "wanted");
+                } else {
+                    complete = false;
                 }
             }
         }
         for (EngineView.Weights old : state.resident()) {
-            if (isUnwanted(old, engine) && !has(old, EngineView.State.IN_USE)) {
+            if (complete && isUnwanted(old, engine) && !has(old, EngineView.State.IN_USE)) {
                 state.remove(old, "not-wanted");
             }
         }
--- /dev/null
+++ b/kernel/src/test/java/org/masticcroft/kernel/rollout/RegionalSwarmPlannerTest.java
@@ -0,0 +1,74 @@
+package org.masticcroft.kernel.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RegionalSwarmPlannerTest {
+    private static final int CHUNKS = 4;
+    private static final List<String> MEMBERS = List.of("a", "b", "c", "d", "e");
+
+    private static Optional<Fetch> next(String self, List<FetchView.Peer> peers, long idle, boolean firstRegion) {
+        FetchView view = new FetchView(
+                self, CHUNKS, new BitSet(), Set.of(), MEMBERS, peers, idle, idle, FetchView.Store.of(firstRegion));
+        return new RegionalSwarmPlanner().next(view, RandomSource.SPLIT_MIX_64.create(3L));
+    }
+
+    private static FetchView.Peer peer(String name, boolean sameRegion, int slots) {
+        BitSet all = new BitSet();
+        all.set(0, CHUNKS);
+        return new FetchView.Peer(name, sameRegion, all, slots, 0);
+    }
+
+    @Nested
+    class Outside {
+        /** Guards against a chunk that two members of the first region draw from the store. */
+        @Test
+        void givesEachChunkOneOwner() {
+            Map<Integer, String> owners = new HashMap<>();
+            for (String member : MEMBERS) {
+                next(member, List.of(), 0, true)
+                        .ifPresent(fetch ->
+                                assertThat(owners.put(fetch.chunk(), member)).isNull());
+            }
+            assertThat(owners).isNotEmpty();
+        }
+
+        /** Guards against a chunk that nobody fetches because its owner stalls. */
+        @Test
+        void letsEveryMemberTakeOverAfterAWhile() {
+            assertThat(MEMBERS)
+                    .allMatch(member -> next(member, List.of(), 60_000, true).isPresent());
+        }
+
+        /** Guards against other regions that draw from the store although the first region will have the chunk. */
+        @Test
+        void waitsForTheFirstRegion() {
+            assertThat(MEMBERS)
+                    .allMatch(member -> next(member, List.of(), 0, false).isEmpty());
+        }
+    }
+
+    @Nested
+    class Inside {
+        /** Guards against bulk traffic across regions for a chunk that the region holds. */
+        @Test
+        void prefersPeersOfTheRegion() {
+            List<FetchView.Peer> peers = List.of(peer("b", true, 1), peer("x", false, 1));
+            assertThat(next("a", peers, 60_000, false)).map(Fetch::source).contains(new Fetch.Source.PeerSource("b"));
+        }
+
+        @Test
+        void skipsPeersWithoutAFreeUploadSlot() {
+            assertThat(next("a", List.of(peer("b", true, 0)), 0, false)).isEmpty();
+        }
+    }
+}
