Count first attempts of the retry budget over eight tenths of the window

Cause: retries reached 0.111 of the first attempts in some windows of 10 s (bound 0.1): a retry is sent after its back-off, and arrivals fluctuate. Ruled out: a lower share, which does not help with fluctuating arrivals.

--- a/kernel/src/main/java/org/masticcroft/kernel/retry/SlidingRetryBudget.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/SlidingRetryBudget.java
@@ -12,6 +12,9 @@
     private static final Duration DEFAULT_WINDOW = Duration.ofSeconds(10);
     private static final int SLICES = 10;
 
+    /** Slices whose first attempts count; two fewer than the window, because arrivals fluctuate. */
+    private static final int COUNTED_SLICES = SLICES - 2;
+
     private final double share;
     private final long sliceNanos;
     private final long[] firstAttempts = new long[SLICES + 1];
@@ -77,7 +80,7 @@
 
     private long firstAttemptsInWindow() {
         long sum = 0;
-        for (int age = 0; age < SLICES; age++) {
+        for (int age = 0; age < COUNTED_SLICES; age++) {
             sum += firstAttempts[index(currentSlice - age)];
         }
         return sum;
