Fetch eight chunks at a time from outside a region

Cause: 1,100 replicas took 1.36 times the bound of the narrowest link (bound 1.3); with four chunks at a time the link between regions was idle while owners waited to see the next chunk at a peer. Ruled out: asking more peers of the first region; it costs control traffic. Change: the window of missing chunks is 8.

--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -17,7 +17,7 @@
      * Number of missing chunks that a region fetches from outside at a time. Few transfers at once keep each of them
      * short, so that a chunk spreads inside the region while the next one crosses.
      */
-    static final int OUTSIDE_WINDOW = 4;
+    static final int OUTSIDE_WINDOW = 8;
 
     /** Time without progress after which the second in order takes over a chunk. */
     static final long FIRST_TAKEOVER_MILLIS = 10_000;
