--- a/experiments/src/main/java/org/masticcroft/experiments/Main.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/Main.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import org.masticcroft.experiments.bench.BenchCommand;
 import org.masticcroft.experiments.report.Bound;
 import org.masticcroft.experiments.report.Measure;
 import org.masticcroft.experiments.report.Report;
@@ -24,7 +25,7 @@
         mixinStandardHelpOptions = true,
         version = "0.1.0",
         description = "Replays recorded traces through the decision code.",
-        subcommands = {Main.RunCommand.class, Main.TraceCommand.class})
+        subcommands = {Main.RunCommand.class, Main.TraceCommand.class, BenchCommand.class})
 public final class Main {
     private Main() {}
 
--- /dev/null
+++ b/experiments/src/main/java/org/masticcroft/experiments/bench/package-info.java
@@ -0,0 +1,2 @@
+/** JMH benchmarks of the decision code. */
+package org.masticcroft.experiments.bench;
