Estimate a customer's wait from its own rate

Change: the expected wait is the longer of the fair share of the rank's rate and the customer's own rate.

--- a/kernel/src/main/java/org/masticcroft/kernel/admission/CustomerQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/CustomerQueue.java
@@ -15,6 +15,7 @@
 
     private final String name;
     private final TreeMap<Place, Ticket> tickets = new TreeMap<>();
+    private final ServiceRate rate = new ServiceRate();
     private double weight;
     private double virtualTime;
     private int running;
@@ -32,6 +33,11 @@
         return name;
     }
 
+    /** Returns the rate at which this customer's tickets leave the queue; it counts only while some wait. */
+    ServiceRate rate() {
+        return rate;
+    }
+
     double weight() {
         return weight;
     }
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -75,7 +75,8 @@
         double weight = ticket.weight() > 0 ? ticket.weight() : 1;
         double totalWeight = waits ? waitingWeight : waitingWeight + weight;
         double ahead = waits ? customer.size() + 1 : 1;
-        double seconds = ahead * totalWeight / weight / rate.perSecond(nowNanos);
+        double fairRate = rate.perSecond(nowNanos) * weight / totalWeight;
+        double seconds = ahead / (waits ? Math.min(fairRate, customer.rate().perSecond(nowNanos)) : fairRate);
         return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
     }
 
@@ -86,6 +87,7 @@
         CustomerQueue customer = customers.computeIfAbsent(ticket.customer(), name -> CustomerQueue.of(name, clock));
         detach(customer);
         if (customer.size() == 0) {
+            customer.rate().start(nowNanos);
             customer.catchUp(clock);
         }
         customer.updateWeight(ticket.weight());
@@ -143,6 +145,7 @@
         running++;
         attach(customer);
         rate.recordPoll(nowNanos);
+        customer.rate().recordPoll(nowNanos);
     }
 
     /** Ends a running ticket and replaces the estimate charged for it by its true cost. */
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/ServiceRate.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/ServiceRate.java
@@ -1,9 +1,9 @@
 package org.masticcroft.kernel.admission;
 
-/** Rate at which a rank's tickets leave the queue, measured only while tickets wait. */
+/** Rate at which the tickets of a rank or of a customer leave the queue, measured only while tickets wait. */
 final class ServiceRate {
     /** A rate over a shorter time says little about the capacity. */
-    private static final double MIN_SECONDS = 0.5;
+    private static final double MIN_SECONDS = 0.25;
 
     /** Older observations lose half their influence after this time, so that the rate follows the capacity. */
     private static final double MAX_SECONDS = 4;
