Count returned tickets against the service rate

Cause: preempted tickets went ahead of waiting ones again and were counted as served twice, so the expected wait was too short. Change: a returned ticket is subtracted from the rate of its rank and customer.

--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -96,6 +96,13 @@
         attach(customer);
     }
 
+    /** Adds a preempted ticket; it goes ahead of the waiting ones again, so it counts as not yet taken. */
+    void addBack(CustomerQueue.Place place, Ticket ticket, long nowNanos) {
+        add(place, ticket, nowNanos);
+        rate.recordReturn();
+        customers.get(ticket.customer()).rate().recordReturn();
+    }
+
     void remove(CustomerQueue.Place place, Ticket ticket) {
         CustomerQueue customer = customers.get(ticket.customer());
         detach(customer);
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -76,7 +76,10 @@
 
     @Override
     public Admission requeue(Ticket ticket, long nowNanos) {
-        add(rankOf(ticket), ticket, nowNanos);
+        RankQueue rank = rankOf(ticket);
+        CustomerQueue.Place place = new CustomerQueue.Place(ticket.arrivalNanos(), sequence++);
+        rank.addBack(place, ticket, nowNanos);
+        waiting.put(ticket.requestId(), new Waiting(rank, place, ticket));
         return Admission.Queued.empty();
     }
 
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/ServiceRate.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/ServiceRate.java
@@ -28,6 +28,11 @@
         }
     }
 
+    /** Records that a ticket came back. */
+    void recordReturn() {
+        polls--;
+    }
+
     /** Returns tickets per second, or positive infinity while the busy period is too short for an estimate. */
     double perSecond(long nowNanos) {
         double seconds = (nowNanos - sinceNanos) / NANOS_PER_SECOND;
