--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -17,8 +17,8 @@
  * weight. Tickets of an unknown rank count as the least urgent one.
  */
 final class RankedFairQueue implements AdmissionQueue {
-    /** Part of the first-token target that may be spent waiting; the rest is for the engine. */
-    private static final double WAIT_PART_OF_TARGET = 0.7;
+    /** Part of the first-token target that the expected wait may use; the rest is for the engine and for errors. */
+    private static final double WAIT_PART_OF_TARGET = 0.5;
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(1);
     private static final RankConfig ONLY_RANK = new RankConfig(0, 1, Duration.ofMinutes(1), 1000);
