--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -18,7 +18,7 @@
  */
 final class RankedFairQueue implements AdmissionQueue {
     /** Part of the first-token target that the expected wait may use; the rest is for the engine and for errors. */
-    private static final double WAIT_PART_OF_TARGET = 0.4;
+    private static final double WAIT_PART_OF_TARGET = 0.5;
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(1);
     private static final RankConfig ONLY_RANK = new RankConfig(0, 1, Duration.ofMinutes(1), 1000);
