--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankQueue.java
@@ -75,7 +75,8 @@
         double weight = ticket.weight() > 0 ? ticket.weight() : 1;
         double totalWeight = waits ? waitingWeight : waitingWeight + weight;
         double ahead = waits ? customer.size() + 1 : 1;
-        double seconds = ahead * totalWeight / weight / rate.perSecond(nowNanos);
+        double fairRate = rate.perSecond(nowNanos) * weight / totalWeight;
+        double seconds = ahead / (waits ? Math.min(fairRate, customer.rate().perSecond(nowNanos)) : fairRate);
         return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
     }
 
@@ -86,6 +87,7 @@
         CustomerQueue customer = customers.computeIfAbsent(ticket.customer(), name -> CustomerQueue.of(name, clock));
         detach(customer);
         if (customer.size() == 0) {
+            customer.rate().start(nowNanos);
             customer.catchUp(clock);
         }
         customer.updateWeight(ticket.weight());
@@ -94,6 +96,13 @@
         attach(customer);
     }
 
+    /** Adds a preempted ticket; it goes ahead of the waiting ones again, so it counts as not yet taken. */
+    void addBack(CustomerQueue.Place place, Ticket ticket, long nowNanos) {
+        add(place, ticket, nowNanos);
+        rate.recordReturn();
+        customers.get(ticket.customer()).rate().recordReturn();
+    }
+
     void remove(CustomerQueue.Place place, Ticket ticket) {
         CustomerQueue customer = customers.get(ticket.customer());
         detach(customer);
@@ -143,6 +152,7 @@
         running++;
         attach(customer);
         rate.recordPoll(nowNanos);
+        customer.rate().recordPoll(nowNanos);
     }
 
     /** Ends a running ticket and replaces the estimate charged for it by its true cost. */
