Write no benchmark file into the working directory

Cause: the benchmark left jmh-result.text in the directory where it was started, and it was committed.

--- a/experiments/src/main/java/org/masticcroft/experiments/bench/BenchCommand.java
+++ b/experiments/src/main/java/org/masticcroft/experiments/bench/BenchCommand.java
@@ -2,7 +2,6 @@
 
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import org.openjdk.jmh.results.format.ResultFormatType;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.ChainedOptionsBuilder;
@@ -51,7 +50,6 @@
                 .warmupIterations(2)
                 .warmupTime(TimeValue.milliseconds(500))
                 .measurementIterations(3)
-                .measurementTime(TimeValue.milliseconds(500))
-                .resultFormat(ResultFormatType.TEXT);
+                .measurementTime(TimeValue.milliseconds(500));
     }
 }
