Stop the HTTP server before the role, so that no request is broken off

Ruled out: the drain deadline (30 s; the drains took 3 to 8 s) and the faults of the service. Change: when the role has drained, the HTTP server stops first (it accepts nothing more and waits for its responses), then the role. While the role is not ready, responses close their connection. Figures: GracefulStopTest fails with the old order and passes with the new one.

--- /dev/null
+++ b/service/src/main/java/org/masticcroft/service/http/ConnectionCloser.java
@@ -0,0 +1,33 @@
+package org.masticcroft.service.http;
+
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.container.ContainerResponseContext;
+import jakarta.ws.rs.container.ContainerResponseFilter;
+import java.util.Objects;
+import org.masticcroft.kernel.lifecycle.Role;
+
+/**
+ * Closes connections after a response while the role is not ready. Callers then connect again and reach another
+ * instance, instead of sending their next request on a connection that the stop is about to close.
+ */
+final class ConnectionCloser implements ContainerResponseFilter {
+    private static final String CONNECTION = "Connection";
+    private static final String CLOSE = "close";
+
+    private final Role role;
+
+    private ConnectionCloser(Role role) {
+        this.role = role;
+    }
+
+    static ConnectionCloser of(Role role) {
+        return new ConnectionCloser(Objects.requireNonNull(role, "role"));
+    }
+
+    @Override
+    public void filter(ContainerRequestContext request, ContainerResponseContext response) {
+        if (!role.ready()) {
+            response.getHeaders().putSingle(CONNECTION, CLOSE);
+        }
+    }
+}
--- a/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
+++ b/service/src/main/java/org/masticcroft/service/http/ServiceApplication.java
@@ -62,7 +62,10 @@
         run("server", "settings");
     }
 
-    /** Stops the HTTP server; responses in progress are cut off, so the role has to be drained before. */
+    /**
+     * Stops the HTTP server gracefully: it stops accepting connections, waits for the responses in progress and then
+     * closes the connections.
+     */
     public void stop() throws Exception {
         server.stop();
     }
@@ -82,6 +85,7 @@
     @Override
     public void run(Configuration configuration, Environment environment) {
         resources.forEach(environment.jersey()::register);
+        environment.jersey().register(ConnectionCloser.of(role));
         if (!adminResources.isEmpty()) {
             ResourceConfig admin = new ResourceConfig();
             adminResources.forEach(admin::register);
--- a/service/src/main/java/org/masticcroft/service/process/ServiceProcess.java
+++ b/service/src/main/java/org/masticcroft/service/process/ServiceProcess.java
@@ -1,6 +1,7 @@
 package org.masticcroft.service.process;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import org.masticcroft.kernel.event.Event;
@@ -61,22 +62,8 @@
 
     /** Runs in the shutdown hook, which the virtual machine starts once, so a second SIGTERM has no effect. */
     private void stop() {
-        EventLog.info(Event.PROCESS_DRAINING, "deadline_s", drainDeadline.toSeconds());
-        role.beginDrain();
-        boolean drained = role.awaitDrained(drainDeadline);
-        closeQuietly(role);
-        closeQuietly(application::stop);
-        closeQuietly(peerServer);
-        closeQuietly(context);
-        EventLog.info(Event.PROCESS_STOPPED, "drained", drained);
+        GracefulStop.of(role, application::stop, List.of(peerServer, context), drainDeadline)
+                .run();
         stopped.countDown();
     }
-
-    private static void closeQuietly(AutoCloseable part) {
-        try {
-            part.close();
-        } catch (Exception e) {
-            EventLog.error(Event.INTERNAL_ERROR, e, "component", "graceful-stop");
-        }
-    }
 }
--- /dev/null
+++ b/service/src/test/java/org/masticcroft/service/process/GracefulStopTest.java
@@ -0,0 +1,166 @@
+package org.masticcroft.service.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.container.Suspended;
+import jakarta.ws.rs.core.Response;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.kernel.lifecycle.Role;
+import org.masticcroft.service.http.HttpSettings;
+import org.masticcroft.service.http.ServiceApplication;
+
+class GracefulStopTest {
+    private static final int CALLERS = 8;
+
+    @Nested
+    class Requests {
+        /** Guards against requests that are broken off because they arrive while the process stops. */
+        @Test
+        void thatArriveDuringTheStopAreAnsweredOrNotAccepted() throws Exception {
+            FakeRole role = new FakeRole();
+            int port = freePort();
+            ServiceApplication application = ServiceApplication.of(
+                    new HttpSettings("127.0.0.1", port, freePort(), 32),
+                    new MetricRegistry(),
+                    role,
+                    List.of(new Resource(role)),
+                    List.of());
+            application.start();
+            Callers callers = new Callers(URI.create("http://127.0.0.1:" + port + "/work"));
+            callers.start();
+            assertThat(role.answered.await(10, TimeUnit.SECONDS)).isTrue();
+            GracefulStop.of(role, application::stop, List.of(), Duration.ofSeconds(10))
+                    .run();
+            callers.join();
+            assertThat(callers.broken).isEmpty();
+            assertThat(callers.statuses).contains(200).containsOnly(200, 503);
+        }
+
+        private static int freePort() throws IOException {
+            try (ServerSocket socket = new ServerSocket(0)) {
+                return socket.getLocalPort();
+            }
+        }
+    }
+
+    /** Callers that send requests over new connections until the server accepts none any more. */
+    private static final class Callers {
+        private final URI uri;
+        private final Queue<String> broken = new ConcurrentLinkedQueue<>();
+        private final Queue<Integer> statuses = new ConcurrentLinkedQueue<>();
+        private final List<Thread> threads = new ArrayList<>();
+
+        private Callers(URI uri) {
+            this.uri = uri;
+        }
+
+        void start() {
+            for (int i = 0; i < CALLERS; i++) {
+                Thread thread = new Thread(this::call);
+                thread.start();
+                threads.add(thread);
+            }
+        }
+
+        void join() throws InterruptedException {
+            for (Thread thread : threads) {
+                thread.join();
+            }
+        }
+
+        private void call() {
+            try {
+                while (true) {
+                    HttpRequest request = HttpRequest.newBuilder(uri)
+                            .POST(HttpRequest.BodyPublishers.ofString("x"))
+                            .build();
+                    statuses.add(HttpClient.newHttpClient()
+                            .send(request, HttpResponse.BodyHandlers.ofString())
+                            .statusCode());
+                }
+            } catch (ConnectException e) {
+                // The server accepts no connection any more: the end of this caller.
+            } catch (IOException e) {
+                broken.add(String.valueOf(e));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Resource that answers on the role's workers, and refuses while the role drains. */
+    @Path("/work")
+    public static final class Resource {
+        private final FakeRole role;
+
+        Resource(FakeRole role) {
+            this.role = role;
+        }
+
+        @POST
+        public void work(@Suspended AsyncResponse response, String body) {
+            role.run(response);
+        }
+    }
+
+    private static final class FakeRole implements Role {
+        private final ExecutorService workers = Executors.newFixedThreadPool(4);
+        private final AtomicInteger running = new AtomicInteger();
+        private final CountDownLatch answered = new CountDownLatch(50);
+        private volatile boolean draining;
+
+        void run(AsyncResponse response) {
+            running.incrementAndGet();
+            workers.execute(() -> {
+                response.resume(Response.status(draining ? 503 : 200).build());
+                running.decrementAndGet();
+                answered.countDown();
+            });
+        }
+
+        @Override
+        public void start() {}
+
+        @Override
+        public boolean ready() {
+            return !draining;
+        }
+
+        @Override
+        public void beginDrain() {
+            draining = true;
+        }
+
+        @Override
+        public boolean awaitDrained(Duration deadline) {
+            return true;
+        }
+
+        @Override
+        public void close() {
+            workers.shutdown();
+        }
+    }
+}
