Stretch the flush intervals of the account with the size of the fleet

Change: each process works out one factor from the instance list, so that all writers together append 100 times a second at most.

--- a/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
+++ b/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
@@ -1,9 +1,12 @@
 package org.masticcroft.account.writer;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.masticcroft.account.batch.Batch;
 import org.masticcroft.account.batch.BatchCodec;
 import org.masticcroft.account.batch.BatchHeader;
@@ -62,9 +65,17 @@
 
     /** Appends the opening batch and flushes at the settings' interval from now on. */
     public LogAccountWriter start() {
-        long interval = settings.flushInterval().toMillis();
+        return start(UnaryOperator.identity());
+    }
+
+    /**
+     * Appends the opening batch and flushes from now on.
+     *
+     * @param interval gives the time until the next flush, from the settings' interval
+     */
+    public LogAccountWriter start(UnaryOperator<Duration> interval) {
         scheduler.execute(() -> appendNext(true, false));
-        scheduler.scheduleWithFixedDelay(this::flushIfDue, interval, interval, TimeUnit.MILLISECONDS);
+        scheduleFlush(interval);
         return this;
     }
 
@@ -106,6 +117,19 @@
         }
     }
 
+    private void scheduleFlush(UnaryOperator<Duration> interval) {
+        Runnable task = () -> {
+            flushIfDue();
+            scheduleFlush(interval);
+        };
+        try {
+            long delay = interval.apply(settings.flushInterval()).toMillis();
+            scheduler.schedule(task, delay, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The writer was closed, and close() has flushed or will flush what is buffered.
+        }
+    }
+
     private void flushIfDue() {
         try {
             boolean idle = time.since(lastAppendNanos).compareTo(settings.idleInterval()) >= 0;
--- a/service/src/main/java/org/masticcroft/service/EntryCommand.java
+++ b/service/src/main/java/org/masticcroft/service/EntryCommand.java
@@ -4,7 +4,6 @@
 import com.google.inject.Guice;
 import com.google.inject.multibindings.OptionalBinder;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.concurrent.Callable;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticcroft.entry.EntryModule;
@@ -32,7 +31,6 @@
         showDefaultValues = false,
         description = "Serves callers: admits their requests and routes them to upstreams.")
 final class EntryCommand implements Callable<Integer> {
-    private static final Duration ACCOUNT_FLUSH = Duration.ofSeconds(1);
     private static final int KEY_LIFETIMES_PER_RETENTION = 4;
     private static final int SERVER_THREADS = 256;
 
@@ -49,7 +47,7 @@
 
     @Override
     public Integer call() throws Exception {
-        ServiceContext context = ServiceContext.of(common, "entry", common.accountFlushOr(ACCOUNT_FLUSH), true);
+        ServiceContext context = ServiceContext.ofEntry(common);
         VersionNotice notice =
                 VersionNotice.of(context.config(), context.instances(), RandomSource.XO_RO_SHI_RO_128_PP.create());
         EntryRole role = Guice.createInjector(context, EntryModule.of(settings()), catchUp(notice))
--- a/service/src/main/java/org/masticcroft/service/SidecarCommand.java
+++ b/service/src/main/java/org/masticcroft/service/SidecarCommand.java
@@ -3,7 +3,6 @@
 import com.google.inject.Guice;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -27,7 +26,6 @@
         mixinStandardHelpOptions = true,
         description = "Runs beside one upstream: fetches and shares weights, gives commands, passes requests on.")
 final class SidecarCommand implements Callable<Integer> {
-    private static final Duration ACCOUNT_FLUSH = Duration.ofSeconds(5);
     private static final int SERVER_THREADS = 12;
 
     @Mixin
@@ -100,7 +98,7 @@
 
     @Override
     public Integer call() throws Exception {
-        ServiceContext context = ServiceContext.of(common, "sidecar", common.accountFlushOr(ACCOUNT_FLUSH), false);
+        ServiceContext context = ServiceContext.ofSidecar(common);
         SidecarModule module = SidecarModule.of(settings(context.incarnation()));
         SidecarRole role = Guice.createInjector(context, module).getInstance(SidecarRole.class);
         HttpSettings http = HttpSettings.adminOnly(common.bind(), common.adminPort(), SERVER_THREADS);
--- a/service/src/main/java/org/masticcroft/service/process/ServiceContext.java
+++ b/service/src/main/java/org/masticcroft/service/process/ServiceContext.java
@@ -52,14 +52,24 @@
     }
 
     /**
-     * Creates the objects from the settings; nothing runs yet.
+     * Creates the objects of an entry; nothing runs yet. Entries re-publish the configuration before it expires.
      *
-     * @param role name of the role in the account
-     * @param flush time between two appends to the account
-     * @param publishesSnapshots whether this process re-publishes the configuration before it expires in the log
      * @throws IllegalArgumentException if the account key is malformed
      */
-    public static ServiceContext of(CommonOptions options, String role, Duration flush, boolean publishesSnapshots) {
+    public static ServiceContext ofEntry(CommonOptions options) {
+        return of(options, "entry", options.accountFlushOr(AppendBudget.ENTRY_FLUSH), true);
+    }
+
+    /**
+     * Creates the objects of a sidecar; nothing runs yet.
+     *
+     * @throws IllegalArgumentException if the account key is malformed
+     */
+    public static ServiceContext ofSidecar(CommonOptions options) {
+        return of(options, "sidecar", options.accountFlushOr(AppendBudget.SIDECAR_FLUSH), false);
+    }
+
+    private static ServiceContext of(CommonOptions options, String role, Duration flush, boolean publishesSnapshots) {
         HttpLogService log = HttpLogService.of(options.logUrl());
         HttpInstanceList instances = HttpInstanceList.of(options.instancesUrl());
         TrackerSettings tracking = TrackerSettings.of(options.instance());
@@ -101,7 +111,7 @@
         instances.start();
         config.addListener(this::recordVersion);
         config.start();
-        account.start();
+        account.start(AppendBudget.of(instances)::stretched);
     }
 
     /** Stops everything; the account is flushed last. */
--- a/service/src/main/java/org/masticcroft/service/setting/CommonOptions.java
+++ b/service/src/main/java/org/masticcroft/service/setting/CommonOptions.java
@@ -85,8 +85,9 @@
             names = "--account-flush",
             defaultValue = "${env:MASTICCROFT_ACCOUNT_FLUSH}",
             converter = Seconds.class,
-            description = "Time between two appends to the account, in seconds."
-                    + " Variable: MASTICCROFT_ACCOUNT_FLUSH. Default: 1 for an entry, 5 for a sidecar.")
+            description =
+                    "Time between two appends to the account in a small fleet, in seconds; large fleets stretch it."
+                            + " Variable: MASTICCROFT_ACCOUNT_FLUSH. Default: 1 for an entry, 5 for a sidecar.")
     private Duration accountFlush;
 
     @Option(
