Use the usual terms for names in planner, admission queue, report and request record

Cause: names such as abroad, owed and Ledger needed an explanation; the last one also named another thing in the stand-ins. Change: otherRegions, belowShare, evidenceOnly, RequestRecordBuilder. No behaviour changed. Conclusion: clean-up only.

--- a/account/src/main/java/org/masticcroft/account/report/AccountReport.java
+++ b/account/src/main/java/org/masticcroft/account/report/AccountReport.java
@@ -89,11 +89,11 @@
         }
 
         AccountReport report(Verification verification) {
-            List<String> orphans = evidence.stream()
+            List<String> evidenceOnly = evidence.stream()
                     .filter(id -> !entryRecords.contains(id))
                     .sorted()
                     .toList();
-            return new AccountReport(new TreeMap<>(groups), perHour, orphans, verification);
+            return new AccountReport(new TreeMap<>(groups), perHour, evidenceOnly, verification);
         }
     }
 
--- a/entry/src/main/java/org/masticcroft/entry/request/Ledger.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRecordBuilder.java
@@ -13,7 +13,7 @@
 import org.masticcroft.kernel.verdict.Verdict;
 
 /** What the audit account will state about one request. Not safe for use by many threads. */
-final class Ledger {
+final class RequestRecordBuilder {
     /** Bounds the record of a request that many busy upstreams refused; the last attempt is always kept. */
     private static final int MAX_ATTEMPTS = 32;
 
@@ -33,7 +33,8 @@
     private Optional<String> reportedDigest = Optional.empty();
     private Optional<String> upstream = Optional.empty();
 
-    Ledger(String requestId, Instant arrival, String requestDigest, long configVersion, long configAgeMillis) {
+    RequestRecordBuilder(
+            String requestId, Instant arrival, String requestDigest, long configVersion, long configAgeMillis) {
         this.requestId = requestId;
         this.arrival = arrival;
         this.requestDigest = requestDigest;
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestRun.java
@@ -80,7 +80,7 @@
     private final String requestId = UUID.randomUUID().toString();
     private final long arrivalNanos;
     private final ConfigState arrivalConfig;
-    private final Ledger ledger;
+    private final RequestRecordBuilder recordBuilder;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final Set<String> excluded = new HashSet<>();
     private Identity identity = Identity.unknown();
@@ -104,7 +104,7 @@
         this.serial = SerialExecutor.of(services.workers());
         this.arrivalNanos = services.time().nanoTime();
         this.arrivalConfig = services.config().state();
-        this.ledger = new Ledger(
+        this.recordBuilder = new RequestRecordBuilder(
                 requestId,
                 services.time().now(),
                 Preparation.sha256(request.body()),
@@ -195,7 +195,7 @@
             return;
         }
         identity = Preparation.identify(state.config(), request.authorization());
-        ledger.identity(identity);
+        recordBuilder.identity(identity);
         Optional<Duration> wait = services.limiter()
                 .tryAcquire(identity.customer(), identity.customerConfig().requestsPerSecond());
         if (wait.isPresent()) {
@@ -203,7 +203,7 @@
             return;
         }
         if (request.kind() == CallerRequest.Kind.MODELS) {
-            ledger.target("models", Optional.empty());
+            recordBuilder.target("models", Optional.empty());
             succeed(ModelList.answer(state.config()), false);
             return;
         }
@@ -214,7 +214,7 @@
                 services.time().now(),
                 services.settings().keyLifetime());
         prepared = Optional.of(spec);
-        ledger.target(spec.target(), Optional.empty());
+        recordBuilder.target(spec.target(), Optional.empty());
         if (services.suspects().isQuarantined(spec.fingerprint())) {
             fail(Failure.notRun(ErrorCode.QUARANTINED, "upstreams crashed while they ran this request"));
         } else if (spec.idempotent()) {
@@ -303,7 +303,7 @@
             refuseKeyOfOtherCall();
             return;
         }
-        ledger.alreadyRan();
+        recordBuilder.alreadyRan();
         services.outcomes()
                 .find(keyDigest)
                 .map(answer -> CompletableFuture.completedFuture(Optional.of(answer)))
@@ -335,10 +335,11 @@
         RequestSpec spec = prepared.orElseThrow();
         Optional<Target> target = pinned.isPresent() ? pinnedTarget(spec) : target(spec);
         if (target.isEmpty()) {
-            fail(Failure.of(ErrorCode.UNKNOWN_MODEL, ledger.worst(), spec.target() + " is not configured any more"));
+            fail(Failure.of(
+                    ErrorCode.UNKNOWN_MODEL, recordBuilder.worst(), spec.target() + " is not configured any more"));
             return;
         }
-        ledger.target(spec.target(), target.get().adapter());
+        recordBuilder.target(spec.target(), target.get().adapter());
         Place place = new Place(spec, target.get());
         waiting = Optional.of(place);
         services.gate().submit(place);
@@ -390,7 +391,7 @@
         if (attempts == 1) {
             services.retryBudget().recordFirstAttempt(services.time().nanoTime());
         }
-        ledger.granted(grant);
+        recordBuilder.granted(grant);
         if (pinned.isPresent()) {
             EventLog.info(
                     Event.STREAM_RESUMED, "request", requestId, "upstream", grant.upstream(), "position", tokensPassed);
@@ -456,7 +457,7 @@
             sink.beginStream(headers(false));
         }
         tokensPassed += attempt.events().takeTokens();
-        ledger.answer(data);
+        recordBuilder.answer(data);
         if (!sink.piece(data)) {
             onCallerGone();
         }
@@ -468,7 +469,7 @@
         }
         boolean success =
                 end.getErrorCode().isEmpty() && end.getVerdict() == org.masticcroft.wire.generated.Verdict.RAN;
-        ledger.reported(end.getWeightsDigest());
+        recordBuilder.reported(end.getWeightsDigest());
         if (!success) {
             Verdict verdict =
                     DispatchFactory.verdict(end, attempt.collector().head().isPresent());
@@ -496,7 +497,7 @@
     private void complete(Attempt attempt, DispatchEnd end) {
         current = Optional.empty();
         attempt.close(false);
-        ledger.attempt(
+        recordBuilder.attempt(
                 attempt.number(),
                 attempt.grant(),
                 Verdict.RAN,
@@ -544,7 +545,7 @@
     private void endAttempt(Attempt attempt, Verdict verdict, ErrorCode code, boolean cancel) {
         current = Optional.empty();
         attempt.close(cancel);
-        ledger.attempt(
+        recordBuilder.attempt(
                 attempt.number(),
                 attempt.grant(),
                 verdict,
@@ -587,9 +588,10 @@
             return;
         }
         RequestSpec spec = prepared.orElseThrow();
-        Failure failure = Failure.of(code, ledger.worst(), message);
+        Failure failure = Failure.of(code, recordBuilder.worst(), message);
         if (services.suspects().isQuarantined(spec.fingerprint())) {
-            fail(Failure.of(ErrorCode.QUARANTINED, ledger.worst(), "upstreams crashed while they ran this request"));
+            fail(Failure.of(
+                    ErrorCode.QUARANTINED, recordBuilder.worst(), "upstreams crashed while they ran this request"));
         } else if (isFinal(code) || !verdict.permitsRetry(spec.idempotent())) {
             fail(failure);
         } else if (PLACED_AGAIN.contains(code)) {
@@ -644,14 +646,14 @@
         if (current.isEmpty()) {
             boolean claiming = order.map(OrderClaim::isUndecided).orElse(false);
             boolean logLate = claiming && code == ErrorCode.DEADLINE_EXCEEDED;
-            fail(Failure.of(logLate ? ErrorCode.LOG_UNAVAILABLE : code, ledger.worst(), message));
+            fail(Failure.of(logLate ? ErrorCode.LOG_UNAVAILABLE : code, recordBuilder.worst(), message));
         } else if (order.isPresent() && code == ErrorCode.DEADLINE_EXCEEDED) {
             services.timers().schedule(OUTCOME_LIMIT, () -> serial.execute(this::onOutcomeTimeout));
             answerFailure(Failure.of(code, Verdict.MAY_HAVE_RUN, message));
         } else {
             Attempt attempt = current.get();
             endAttempt(attempt, Verdict.MAY_HAVE_RUN, code, order.isEmpty());
-            fail(Failure.of(code, ledger.worst(), message));
+            fail(Failure.of(code, recordBuilder.worst(), message));
         }
     }
 
@@ -714,7 +716,7 @@
         if (!answered) {
             answered = true;
             finishWaiting();
-            ledger.answer(answer.body());
+            recordBuilder.answer(answer.body());
             success(answer.status());
             tell(() -> sink.whole(headers(replayed), answer));
         }
@@ -746,7 +748,7 @@
     private void record(Verdict verdict, Optional<ErrorCode> code, int status) {
         Instant now = services.time().now();
         long uncertainty = services.settings().clockUncertainty().toMillis();
-        tell(() -> services.account().write(ledger.close(now, uncertainty, verdict, code, status)));
+        tell(() -> services.account().write(recordBuilder.close(now, uncertainty, verdict, code, status)));
         String name = identity.rank().isEmpty() ? "unknown" : identity.rank();
         services.metrics().timer("entry.request." + name).update(services.time().since(arrivalNanos));
         code.ifPresent(
@@ -756,8 +758,8 @@
     private AnswerHeaders headers(boolean replayed) {
         return new AnswerHeaders(
                 requestId,
-                ledger.weights(),
-                ledger.upstream(),
+                recordBuilder.weights(),
+                recordBuilder.upstream(),
                 services.config().state().version(),
                 services.config().confirmed()
                         ? Optional.empty()
@@ -778,7 +780,8 @@
                 code,
                 "retryAfterMs",
                 retryAfter.toMillis());
-        fail(Failure.of(code, ledger.worst(), "the request was not admitted").retryAfter(retryAfter));
+        fail(Failure.of(code, recordBuilder.worst(), "the request was not admitted")
+                .retryAfter(retryAfter));
     }
 
     private void rejected(Attempt attempt, String reason) {
--- a/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/admission/RankedFairQueue.java
@@ -86,21 +86,21 @@
     @Override
     public Optional<Ticket> poll(long nowNanos) {
         RankQueue urgent = null;
-        RankQueue owed = null;
+        RankQueue belowShare = null;
         for (RankQueue rank : byUrgency) {
             if (rank.waiting() == 0) {
                 continue;
             }
             if (urgent == null) {
                 urgent = rank;
-            } else if (rank.lacking(running.size()) > 0 && (owed == null || lacksMore(rank, owed))) {
-                owed = rank;
+            } else if (rank.lacking(running.size()) > 0 && (belowShare == null || lacksMore(rank, belowShare))) {
+                belowShare = rank;
             }
         }
         if (urgent == null) {
             return Optional.empty();
         }
-        return Optional.of(takeNext(owed == null ? urgent : owed, nowNanos));
+        return Optional.of(takeNext(belowShare == null ? urgent : belowShare, nowNanos));
     }
 
     @Override
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -89,12 +89,12 @@
         if (view.store().firstRegion() && storeUsable) {
             return Optional.of(new Fetch(chunk, new Fetch.Source.Store(), "owner-from-store"));
         }
-        List<FetchView.Peer> abroad = view.peers().stream()
+        List<FetchView.Peer> otherRegions = view.peers().stream()
                 .filter(peer -> !peer.sameRegion() && isUsable(peer, view))
                 .filter(peer -> peer.chunks().get(chunk))
                 .toList();
-        if (!abroad.isEmpty()) {
-            return Optional.of(fromPeer(chunk, abroad, random, "owner-from-region"));
+        if (!otherRegions.isEmpty()) {
+            return Optional.of(fromPeer(chunk, otherRegions, random, "owner-from-region"));
         }
         return storeUsable && view.lastProgressMillis() >= STORE_FALLBACK_MILLIS
                 ? Optional.of(new Fetch(chunk, new Fetch.Source.Store(), "store-fallback"))
