--- a/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
@@ -22,6 +22,7 @@
             AccountExportCommand.class,
             AccountVerifyCommand.class,
             AccountReportCommand.class,
+            AccountDueCommand.class,
             AccountNewKeyCommand.class
         })
 final class AccountCommand implements Callable<Integer> {
--- /dev/null
+++ b/cli/src/test/java/org/masticcroft/cli/AccountDueTest.java
@@ -0,0 +1,45 @@
+package org.masticcroft.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.platform.log.Streams;
+
+class AccountDueTest {
+    private final TestFleet fleet = new TestFleet();
+
+    private int exitCode(String nextOffset) {
+        return fleet.run("account", "due", "--retention", "60m", nextOffset).exitCode();
+    }
+
+    @Nested
+    class AnExport {
+        @Test
+        void isNotDueWithoutRecords() {
+            assertThat(exitCode("0")).isEqualTo(ExitCodes.OK);
+        }
+
+        /** Guards against an account that the log forgets before an operator is told. */
+        @Test
+        void isDueWhenARecordIsOlderThanHalfOfTheRetention() {
+            fleet.log.append(Streams.ACCOUNT, new byte[] {1});
+            fleet.time.advance(Duration.ofMinutes(29));
+            assertThat(exitCode("0")).isEqualTo(ExitCodes.OK);
+            fleet.time.advance(Duration.ofMinutes(2));
+            assertThat(exitCode("0")).isEqualTo(ExitCodes.PROBLEM);
+            assertThat(exitCode("1")).isEqualTo(ExitCodes.OK);
+        }
+
+        /** Guards against lost records that nobody is told about. */
+        @Test
+        void isDueWhenRecordsWereLost() {
+            fleet.log.append(Streams.ACCOUNT, new byte[] {1});
+            fleet.log.append(Streams.ACCOUNT, new byte[] {2});
+            fleet.log.dropBefore(Streams.ACCOUNT, 1);
+            assertThat(exitCode("0")).isEqualTo(ExitCodes.PROBLEM);
+            assertThat(exitCode("1")).isEqualTo(ExitCodes.OK);
+        }
+    }
+}
