--- a/account/src/main/java/org/masticcroft/account/capacity/AccountCost.java
+++ b/account/src/main/java/org/masticcroft/account/capacity/AccountCost.java
@@ -18,9 +18,9 @@
 import org.masticcroft.account.writer.AccountSettings;
 import org.masticcroft.account.writer.LogAccountWriter;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.log.InMemoryLogService;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.InMemoryLogService;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.Streams;
 
 /** Measures processor time, bytes in the log, speed of export and verification, and heap of buffered records. */
 final class AccountCost {
--- a/account/src/main/java/org/masticcroft/account/export/AccountExport.java
+++ b/account/src/main/java/org/masticcroft/account/export/AccountExport.java
@@ -13,10 +13,10 @@
 import org.masticcroft.account.batch.BatchCodec;
 import org.masticcroft.account.batch.BatchHeader;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 
 /** Copies the account of an interval from the log into a file that verifies by itself. */
 public final class AccountExport {
--- a/account/src/main/java/org/masticcroft/account/read/AccountReader.java
+++ b/account/src/main/java/org/masticcroft/account/read/AccountReader.java
@@ -8,10 +8,10 @@
 import org.masticcroft.account.batch.Batch;
 import org.masticcroft.account.batch.BatchCodec;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 
 /** Reads the batches of the account from the log, without the copies that lost append answers leave behind. */
 public final class AccountReader {
--- a/account/src/main/java/org/masticcroft/account/search/RequestSearch.java
+++ b/account/src/main/java/org/masticcroft/account/search/RequestSearch.java
@@ -14,7 +14,7 @@
 import org.masticcroft.account.record.AuditRecord;
 import org.masticcroft.account.record.DispatchRecord;
 import org.masticcroft.account.record.RequestRecord;
-import org.masticcroft.platform.log.LogService;
+import org.masticcroft.ports.log.LogService;
 
 /** Finds all records of one request, in the log or in an exported file. */
 public final class RequestSearch {
--- a/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
+++ b/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
@@ -16,8 +16,8 @@
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 
 /**
  * Appends audit records to the log in batches. A sealed batch is appended again until the log confirms it; readers drop
--- a/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
+++ b/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
@@ -29,8 +29,8 @@
 import org.masticcroft.account.writer.AccountSettings;
 import org.masticcroft.account.writer.LogAccountWriter;
 import org.masticcroft.kernel.time.ManualTimeSource;
-import org.masticcroft.platform.log.InMemoryLogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.InMemoryLogService;
+import org.masticcroft.ports.log.Streams;
 
 class AccountHistoryTest {
     private static final Duration DAY = Duration.ofDays(1);
--- a/account/src/test/java/org/masticcroft/account/MutationTest.java
+++ b/account/src/test/java/org/masticcroft/account/MutationTest.java
@@ -24,7 +24,7 @@
 import org.masticcroft.account.writer.AccountSettings;
 import org.masticcroft.account.writer.LogAccountWriter;
 import org.masticcroft.kernel.time.ManualTimeSource;
-import org.masticcroft.platform.log.InMemoryLogService;
+import org.masticcroft.ports.log.InMemoryLogService;
 
 class MutationTest {
     private static final long SEED = 20261204;
--- a/account/src/test/java/org/masticcroft/account/capacity/AccountCostTest.java
+++ b/account/src/test/java/org/masticcroft/account/capacity/AccountCostTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.Streams;
 
 class AccountCostTest {
     private static final int RECORDS = 1_000;
--- a/cli/src/main/java/org/masticcroft/cli/DrainedSet.java
+++ b/cli/src/main/java/org/masticcroft/cli/DrainedSet.java
@@ -11,7 +11,7 @@
 import org.masticcroft.cli.publish.Publisher;
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import picocli.CommandLine.Mixin;
 
 /** What {@code drain} and {@code undrain} share, for use as a mixin. */
--- a/cli/src/main/java/org/masticcroft/cli/fleet/FleetProbe.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/FleetProbe.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.masticcroft.kernel.config.ConfigRecord;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.generated.ConfigRequest;
 import org.masticcroft.wire.generated.Envelope;
 import org.masticcroft.wire.generated.StatusReply;
--- a/cli/src/main/java/org/masticcroft/cli/fleet/FleetReport.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/FleetReport.java
@@ -8,7 +8,7 @@
 import org.masticcroft.kernel.config.ConfigState;
 import org.masticcroft.kernel.config.DeploymentConfig;
 import org.masticcroft.kernel.config.FleetConfig;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.generated.ReadyModel;
 import org.masticcroft.wire.generated.StatusReply;
 
--- a/cli/src/main/java/org/masticcroft/cli/fleet/HttpPlatform.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/HttpPlatform.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.masticcroft.platform.instance.HttpInstanceList;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.log.HttpLogService;
-import org.masticcroft.platform.log.LogService;
+import org.masticcroft.ports.instance.HttpInstanceList;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.log.HttpLogService;
+import org.masticcroft.ports.log.LogService;
 import org.masticcroft.wire.NettyPeerClient;
 import org.masticcroft.wire.PeerClient;
 
--- a/cli/src/main/java/org/masticcroft/cli/fleet/InstanceStatus.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/InstanceStatus.java
@@ -1,7 +1,7 @@
 package org.masticcroft.cli.fleet;
 
 import java.util.Optional;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.generated.StatusReply;
 
 /**
--- a/cli/src/main/java/org/masticcroft/cli/fleet/Platform.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/Platform.java
@@ -4,8 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.log.LogService;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.log.LogService;
 import org.masticcroft.wire.PeerClient;
 
 /** The platform services and peers that commands talk to. */
--- a/cli/src/main/java/org/masticcroft/cli/publish/ConfigStream.java
+++ b/cli/src/main/java/org/masticcroft/cli/publish/ConfigStream.java
@@ -12,9 +12,9 @@
 import org.masticcroft.kernel.config.ConfigState;
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.Streams;
 
 /** Reads the stream {@code config} and remembers which publications took effect. */
 public final class ConfigStream {
--- a/cli/src/main/java/org/masticcroft/cli/publish/Publisher.java
+++ b/cli/src/main/java/org/masticcroft/cli/publish/Publisher.java
@@ -17,7 +17,7 @@
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.Streams;
 
 /**
  * Publishes a configuration. The order of the records in the log decides between racing publishers; the unique publish
--- a/cli/src/test/java/org/masticcroft/cli/AccountDueTest.java
+++ b/cli/src/test/java/org/masticcroft/cli/AccountDueTest.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.Streams;
 
 class AccountDueTest {
     private final TestFleet fleet = new TestFleet();
--- a/cli/src/test/java/org/masticcroft/cli/PublishTest.java
+++ b/cli/src/test/java/org/masticcroft/cli/PublishTest.java
@@ -16,9 +16,9 @@
 import org.masticcroft.cli.TestFleet.Run;
 import org.masticcroft.kernel.config.ConfigRecord;
 import org.masticcroft.kernel.config.FleetConfig;
-import org.masticcroft.platform.config.ConfigTracker;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.config.ConfigTracker;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.log.Streams;
 
 class PublishTest {
     private static final String PORT = Path.of("..", "examples", "port").toString();
--- a/entry/src/main/java/org/masticcroft/entry/EntryModule.java
+++ b/entry/src/main/java/org/masticcroft/entry/EntryModule.java
@@ -18,7 +18,6 @@
 import org.masticcroft.entry.peer.PeerEntries;
 import org.masticcroft.entry.peer.StatusPoller;
 import org.masticcroft.entry.policy.Policies;
-import org.masticcroft.entry.policy.RetryAllowance;
 import org.masticcroft.entry.request.Intake;
 import org.masticcroft.entry.request.RateLimiter;
 import org.masticcroft.entry.request.Services;
@@ -33,11 +32,12 @@
 import org.masticcroft.entry.version.VersionGate;
 import org.masticcroft.kernel.breaker.ConsecutiveFailureBreaker;
 import org.masticcroft.kernel.config.ConfigView;
+import org.masticcroft.kernel.retry.RetryAllowance;
 import org.masticcroft.kernel.retry.RetryBudget;
 import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.InstanceList;
-import org.masticcroft.platform.log.LogService;
+import org.masticcroft.ports.instance.InstanceList;
+import org.masticcroft.ports.log.LogService;
 import org.masticcroft.wire.PeerClient;
 
 /**
--- a/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
+++ b/entry/src/main/java/org/masticcroft/entry/admission/AdmissionGate.java
@@ -27,7 +27,7 @@
 import org.masticcroft.kernel.routing.UpstreamChooser;
 import org.masticcroft.kernel.routing.UpstreamLoad;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 
 /**
  * Queues requests by upstream group and starts them as upstreams have room. Each group has an admission queue of its
--- a/entry/src/main/java/org/masticcroft/entry/admission/Grant.java
+++ b/entry/src/main/java/org/masticcroft/entry/admission/Grant.java
@@ -6,7 +6,7 @@
 import org.masticcroft.entry.upstream.Weights;
 import org.masticcroft.kernel.admission.AdmissionQueue;
 import org.masticcroft.kernel.admission.Ticket;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 
 /**
  * A place on an upstream.
--- a/entry/src/main/java/org/masticcroft/entry/peer/StatusPoller.java
+++ b/entry/src/main/java/org/masticcroft/entry/peer/StatusPoller.java
@@ -8,8 +8,8 @@
 import org.masticcroft.entry.request.Services;
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.instance.InstanceList;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.instance.InstanceList;
 import org.masticcroft.wire.generated.Envelope;
 import org.masticcroft.wire.generated.StatusRequest;
 
--- a/entry/src/main/java/org/masticcroft/entry/upstream/Upstream.java
+++ b/entry/src/main/java/org/masticcroft/entry/upstream/Upstream.java
@@ -4,7 +4,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.masticcroft.kernel.breaker.CircuitBreaker;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.generated.ReadyModel;
 
 /** What the table knows about one upstream. Guarded by the lock of the table. */
--- a/entry/src/main/java/org/masticcroft/entry/upstream/UpstreamTable.java
+++ b/entry/src/main/java/org/masticcroft/entry/upstream/UpstreamTable.java
@@ -21,7 +21,7 @@
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.routing.UpstreamLoad;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.generated.StatusReply;
 
 /** The upstreams that this entry may use. Safe for use by many threads; see the lock order of the entry package. */
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
@@ -0,0 +1,104 @@
+package org.masticcroft.gateway.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.masticcroft.gateway.http.Address;
+
+/** One version of the operator's configuration, indexed for the lookups of a request. */
+public final class GatewayConfig {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, UpstreamService> services = new HashMap<>();
+    private final Map<String, Customer> customersByKey = new HashMap<>();
+    private final CallerLimits limits;
+
+    private GatewayConfig(long version, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+    }
+
+    /** Creates a configuration. */
+    public static GatewayConfig of(
+            long version,
+            List<Route> routes,
+            List<UpstreamService> services,
+            List<Customer> customers,
+            CallerLimits limits) {
+        GatewayConfig config = new GatewayConfig(version, Objects.requireNonNull(limits, "limits"));
+        for (Route route : routes) {
+            config.routesByHost
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        config.routesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> config.services.put(service.name(), service));
+        customers.forEach(customer -> customer.keys().forEach(key -> config.customersByKey.put(key, customer)));
+        return config;
+    }
+
+    /** Returns the number of the version; later versions have higher numbers. */
+    public long version() {
+        return version;
+    }
+
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns whether callers must identify themselves on routes that are not open. */
+    public boolean requiresKeys() {
+        return !customersByKey.isEmpty();
+    }
+
+    /** Returns the route with the longest prefix that matches, if any. */
+    public Optional<Route> route(String host, String path) {
+        for (Route route : routesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the customer that holds a key, if any. */
+    public Optional<Customer> customer(String key) {
+        return Optional.ofNullable(customersByKey.get(key));
+    }
+
+    /** Returns a service by name, if the configuration has it. */
+    public Optional<UpstreamService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the names of the models that engines of the configuration serve. */
+    public List<String> models() {
+        return services.values().stream()
+                .flatMap(service -> service.profile().stream())
+                .map(EngineProfile::model)
+                .toList();
+    }
+
+    /** Returns the address of the origin of weights, if the configuration names one. */
+    public Optional<Address> origin() {
+        return services.values().stream()
+                .flatMap(service -> service.origin().stream())
+                .findFirst();
+    }
+
+    /** Returns the data centre of the origin of weights; empty if there is none. */
+    public String originZone() {
+        return services.values().stream()
+                .filter(service -> service.origin().isPresent())
+                .map(UpstreamService::originZone)
+                .findFirst()
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/ServiceShare.java
@@ -0,0 +1,18 @@
+package org.masticcroft.gateway.config;
+
+import java.util.Objects;
+
+/**
+ * A service that a route leads to, with its share of the requests.
+ *
+ * @param service name of the service
+ * @param weight share relative to the other services of the route, not negative
+ */
+public record ServiceShare(String service, double weight) {
+    public ServiceShare {
+        Objects.requireNonNull(service, "service");
+        if (!(weight >= 0)) {
+            throw new IllegalArgumentException("weight of service " + service + " is negative: " + weight);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration of the fleet as an entry uses it: routes, services, customers and limits. */
+package org.masticcroft.gateway.config;
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -0,0 +1,109 @@
+package org.masticcroft.gateway.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.masticcroft.gateway.fleet.UpstreamListing;
+import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.load.LoadReport;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.kernel.event.Event;
+
+/** The upstreams that are listed, and those that left while requests of this entry still run there. */
+public final class UpstreamTable {
+    /** Time after which the state of a removed upstream is dropped; longer than any request runs. */
+    private static final Duration KEEP_REMOVED = Duration.ofSeconds(15);
+
+    private final DecisionLog log;
+    private final Map<String, Upstream> byId = new HashMap<>();
+
+    private UpstreamTable(DecisionLog log) {
+        this.log = log;
+    }
+
+    /** Creates an empty table. */
+    public static UpstreamTable of(DecisionLog log) {
+        return new UpstreamTable(log);
+    }
+
+    /** Returns the listed upstreams of a service. */
+    public List<Upstream> ofService(String service) {
+        List<Upstream> found = new ArrayList<>();
+        for (Upstream upstream : byId.values()) {
+            if (!upstream.removed() && upstream.listing().service().equals(service)) {
+                found.add(upstream);
+            }
+        }
+        return found;
+    }
+
+    /** Returns all listed upstreams. */
+    public List<Upstream> listed() {
+        return byId.values().stream().filter(upstream -> !upstream.removed()).toList();
+    }
+
+    /** Returns the listed upstream at an address, if any. */
+    public Optional<Upstream> at(Address address) {
+        return byId.values().stream()
+                .filter(upstream ->
+                        !upstream.removed() && upstream.listing().address().equals(address))
+                .findFirst();
+    }
+
+    /** Adds an upstream or changes its entry. */
+    public void listed(UpstreamListing listing, long nowNanos) {
+        Upstream known = byId.get(listing.id());
+        if (known == null || known.listing().startMillis() != listing.startMillis()) {
+            byId.put(listing.id(), Upstream.of(listing, nowNanos));
+        } else {
+            known.listed(listing);
+        }
+        log.write(
+                listing.leaving() ? Event.UPSTREAM_NOT_ROUTABLE : Event.UPSTREAM_ROUTABLE,
+                "upstream",
+                listing.id(),
+                "service",
+                listing.service(),
+                "address",
+                listing.address(),
+                "zone",
+                listing.zone(),
+                "version",
+                listing.loadedVersion().isPresent() ? listing.loadedVersion().getAsLong() : "none",
+                "leaving",
+                listing.leaving());
+    }
+
+    /** Removes an upstream; requests that run there are not touched. */
+    public void removed(String id, long nowNanos) {
+        Upstream upstream = byId.get(id);
+        if (upstream != null && !upstream.removed()) {
+            upstream.remove(nowNanos);
+            log.write(Event.UPSTREAM_NOT_ROUTABLE, "upstream", id, "reason", "removed-from-list");
+        }
+        byId.values().removeIf(old -> old.removed() && nowNanos - old.removedNanos() > KEEP_REMOVED.toNanos());
+    }
+
+    /** Removes all upstreams but the given ones, after the list was read as a whole. */
+    public void retain(Collection<String> ids, long nowNanos) {
+        Set<String> kept = new HashSet<>(ids);
+        for (String id : new ArrayList<>(byId.keySet())) {
+            if (!kept.contains(id)) {
+                removed(id, nowNanos);
+            }
+        }
+    }
+
+    /** Applies a load report of the engine at an address. A report of an earlier start is dropped. */
+    public void reported(Address address, LoadReport report, long nowNanos) {
+        at(address)
+                .filter(upstream -> upstream.listing().startMillis() == report.startMillis())
+                .ifPresent(upstream -> upstream.reported(report, nowNanos));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -0,0 +1,383 @@
+package org.masticcroft.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.masticcroft.gateway.config.Customer;
+import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.config.RouteKind;
+import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.dispatch.Waiting;
+import org.masticcroft.gateway.http.AnswerHead;
+import org.masticcroft.gateway.http.AnswerWriter;
+import org.masticcroft.gateway.http.CallerRequest;
+import org.masticcroft.gateway.http.Forwarding;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.verdict.Verdict;
+
+/**
+ * One request of a caller, from its arrival to its final answer. Decides after each failure whether the request may go
+ * to another upstream. Used on the event loop only.
+ */
+public final class Exchange implements Waiting {
+    /** Times that a request is sent, refusals by upstreams included; each one draws on the shared budget. */
+    private static final int MAX_SENDS = 4;
+
+    /** Time an upstream is avoided after it refused a request because it is full. */
+    private static final Duration FULL_PAUSE = Duration.ofMillis(60);
+
+    /** Time an upstream is avoided after another process or other weights were found at its address. */
+    private static final Duration MISMATCH_PAUSE = Duration.ofMillis(250);
+
+    /** Silence after which an upstream that owes an answer is taken as dead; its events come every 50 to 200 ms. */
+    private static final Duration DEAD_SILENCE = Duration.ofMillis(900);
+
+    /** Time without a byte after which one stream is taken as lost although its upstream serves others. */
+    private static final Duration LOST_SILENCE = Duration.ofMillis(1600);
+
+    /** Shortest time without an answer after which an idempotent request is sent to another upstream. */
+    private static final Duration PLAIN_SILENCE = Duration.ofMillis(350);
+
+    private static final int MAX_URGENCY = 9;
+
+    private final ExchangeContext context;
+    private final CallerRequest request;
+    private final Route route;
+    private final Optional<Customer> customer;
+    private final AnswerWriter writer;
+    private final String service;
+    private final long arrivalNanos;
+    private final long deadlineNanos;
+    private final Set<String> tried = new HashSet<>();
+    private final Future<?> deadlineTimer;
+    private final EventReader events;
+    private UpstreamAttempt attempt;
+    private int sends;
+    private int runs;
+    private boolean mayHaveRun;
+    private boolean answering;
+    private boolean done;
+
+    private Exchange(
+            ExchangeContext context,
+            CallerRequest request,
+            Route route,
+            Optional<Customer> customer,
+            AnswerWriter writer) {
+        this.context = context;
+        this.request = request;
+        this.route = route;
+        this.customer = customer;
+        this.writer = writer;
+        this.service = route.serviceAt(context.random().nextDouble());
+        this.arrivalNanos = context.time().nanoTime();
+        Duration patience = request.deadline()
+                .filter(left -> left.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        this.deadlineNanos = arrivalNanos + patience.toNanos();
+        this.events = EventReader.after(request.resumeAfter().orElse(0));
+        this.deadlineTimer = context.loop().schedule(this::expire, patience.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Starts the handling of a request that was matched to a route. */
+    public static void start(
+            ExchangeContext context,
+            CallerRequest request,
+            Route route,
+            Optional<Customer> customer,
+            AnswerWriter writer) {
+        Exchange exchange = new Exchange(context, request, route, customer, writer);
+        writer.onCallerGone(exchange::callerGone);
+        context.started(exchange, exchange.service);
+        context.enqueue(exchange, exchange.service);
+    }
+
+    @Override
+    public String id() {
+        return request.attemptId();
+    }
+
+    @Override
+    public int rank() {
+        OptionalInt own = customer.map(Customer::rank).orElse(OptionalInt.empty());
+        return own.orElse(route.rank());
+    }
+
+    @Override
+    public String customer() {
+        return customer.map(Customer::name).orElse("");
+    }
+
+    @Override
+    public long arrivalNanos() {
+        return arrivalNanos;
+    }
+
+    @Override
+    public Duration target() {
+        return route.target();
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    @Override
+    public int promptTokens() {
+        return request.generation().map(CallerRequest.Generation::promptTokens).orElse(0);
+    }
+
+    @Override
+    public Set<String> tried() {
+        return tried;
+    }
+
+    public CallerRequest request() {
+        return request;
+    }
+
+    public Route route() {
+        return route;
+    }
+
+    @Override
+    public void dispatch(Choice choice) {
+        Upstream upstream = choice.upstream();
+        long now = context.time().nanoTime();
+        sends++;
+        tried.add(upstream.id());
+        context.log()
+                .write(
+                        Event.ROUTING_DECISION,
+                        "request",
+                        id(),
+                        "attempt",
+                        sends,
+                        "upstream",
+                        upstream.id(),
+                        "candidates",
+                        choice.candidates(),
+                        "predicted_ms",
+                        Math.round(choice.predictedMillis()),
+                        "load",
+                        choice.load(),
+                        "report_age_ms",
+                        upstream.reportAgeMillis(now).isPresent()
+                                ? upstream.reportAgeMillis(now).getAsLong()
+                                : "none",
+                        "weights",
+                        upstream.servedVersion().isPresent()
+                                ? upstream.servedVersion().getAsLong()
+                                : "none",
+                        "waited_ms",
+                        (now - arrivalNanos) / 1_000_000,
+                        "config",
+                        context.configVersion());
+        attempt = UpstreamAttempt.send(this, context, upstream, forwarding(upstream, now));
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        finish(503, Verdict.NOT_RUN, refusal.reason(), Optional.of(refusal.retryAfter()));
+    }
+
+    /** Looks whether the upstream has gone silent, and goes to another one if the request may be repeated. */
+    public void checkSilence(long nowNanos) {
+        if (done || attempt == null || !route.repeatable()) {
+            return;
+        }
+        Duration own = attempt.silence(nowNanos);
+        if (route.kind() == RouteKind.IDEMPOTENT) {
+            Duration limit = route.target().compareTo(PLAIN_SILENCE) > 0 ? route.target() : PLAIN_SILENCE;
+            if (own.compareTo(limit) > 0 && canRepeat()) {
+                attempt.giveUp();
+            }
+            return;
+        }
+        boolean dead = own.compareTo(DEAD_SILENCE) > 0
+                && attempt.upstream().silence(nowNanos).compareTo(DEAD_SILENCE) > 0;
+        if ((dead || own.compareTo(LOST_SILENCE) > 0) && canRepeat()) {
+            attempt.giveUp();
+        }
+    }
+
+    boolean streams() {
+        return route.kind() == RouteKind.STREAM;
+    }
+
+    boolean answering() {
+        return answering;
+    }
+
+    EventReader events() {
+        return events;
+    }
+
+    void startAnswer(int status, HttpHeaders headers) {
+        answering = true;
+        writer.start(status, headers);
+    }
+
+    void part(ByteBuf content) {
+        writer.part(content);
+    }
+
+    /** Completes a streamed answer. */
+    void endAnswer() {
+        close();
+        writer.end();
+        ended(200, Verdict.RAN, "");
+    }
+
+    /** Passes a complete answer of the upstream on as it is. */
+    void passOn(AnswerHead head, HttpHeaders headers, ByteBuf body) {
+        close();
+        writer.whole(head.status(), headers, body);
+        ended(head.status(), Verdict.RAN, head.success() ? "" : "upstream-status");
+    }
+
+    /**
+     * Decides what follows an attempt that failed.
+     *
+     * @param upstream where the request was sent
+     * @param verdict whether the upstream may have run the request
+     * @param reason reason for the log
+     * @param wasFull whether the upstream refused because it has no room
+     */
+    void attemptFailed(Upstream upstream, Verdict verdict, String reason, boolean wasFull) {
+        long now = context.time().nanoTime();
+        attempt = null;
+        if (verdict == Verdict.NOT_RUN) {
+            upstream.refused(now, wasFull ? FULL_PAUSE : MISMATCH_PAUSE);
+        } else {
+            runs++;
+            mayHaveRun = true;
+        }
+        context.log()
+                .write(
+                        Event.ATTEMPT_FAILED,
+                        "request",
+                        id(),
+                        "attempt",
+                        sends,
+                        "upstream",
+                        upstream.id(),
+                        "verdict",
+                        verdict,
+                        "reason",
+                        reason,
+                        "last_event",
+                        events.lastId(),
+                        "failure_share",
+                        Math.round(100 * upstream.failureShare()) / 100.0);
+        if (mayRepeat(verdict) && context.takeRetry(service)) {
+            events.restart();
+            context.enqueue(this, service);
+        } else {
+            failFinally(reason);
+        }
+    }
+
+    boolean canRepeat() {
+        return sends < MAX_SENDS && runs + 1 < route.maxUpstreams() && context.hasOther(service, tried);
+    }
+
+    private boolean mayRepeat(Verdict verdict) {
+        boolean allowed = verdict == Verdict.NOT_RUN ? !mayHaveRun || route.repeatable() : route.repeatable();
+        return allowed && sends < MAX_SENDS && runs < route.maxUpstreams();
+    }
+
+    private void failFinally(String reason) {
+        if (answering) {
+            close();
+            writer.abort();
+            ended(0, Verdict.MAY_HAVE_RUN, reason);
+        } else if (mayHaveRun) {
+            finish(502, Verdict.MAY_HAVE_RUN, reason, Optional.empty());
+        } else {
+            finish(503, Verdict.NOT_RUN, reason, Optional.of(context.retryAfter()));
+        }
+    }
+
+    private void expire() {
+        if (done) {
+            return;
+        }
+        boolean sent = attempt != null && attempt.sent();
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        } else {
+            context.dequeue(this, service);
+        }
+        if (answering) {
+            close();
+            writer.abort();
+            ended(0, Verdict.MAY_HAVE_RUN, "deadline");
+        } else if (sent || mayHaveRun) {
+            finish(504, Verdict.MAY_HAVE_RUN, "deadline", Optional.empty());
+        } else {
+            finish(503, Verdict.NOT_RUN, "deadline", Optional.of(context.retryAfter()));
+        }
+    }
+
+    private void callerGone() {
+        if (done) {
+            return;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        } else {
+            context.dequeue(this, service);
+        }
+        close();
+        ended(0, sends > 0 ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "caller-left");
+    }
+
+    private void finish(int status, Verdict verdict, String reason, Optional<Duration> retryAfter) {
+        close();
+        HttpHeaders headers = new DefaultHttpHeaders();
+        retryAfter.ifPresent(after -> headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(after)));
+        writer.whole(status, headers, Unpooled.EMPTY_BUFFER);
+        ended(status, verdict, reason);
+    }
+
+    private void close() {
+        done = true;
+        deadlineTimer.cancel(false);
+    }
+
+    private void ended(int status, Verdict verdict, String reason) {
+        context.ended(this, new ExchangeEnd(status, verdict, reason, sends, answering, lastUpstream()));
+    }
+
+    private String lastUpstream() {
+        return attempt == null ? "" : attempt.upstream().id();
+    }
+
+    private Forwarding forwarding(Upstream upstream, long now) {
+        Optional<Duration> remaining = Optional.of(Duration.ofNanos(Math.max(1_000_000, deadlineNanos - now)));
+        OptionalInt urgency =
+                streams() ? OptionalInt.of(Math.max(0, Math.min(MAX_URGENCY, rank()))) : OptionalInt.empty();
+        OptionalLong resume = events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty();
+        return new Forwarding(
+                upstream.id(),
+                remaining,
+                customer.map(Customer::name),
+                urgency,
+                request.generation().isPresent() ? upstream.servedVersion() : OptionalLong.empty(),
+                streams() ? resume : request.resumeAfter());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -0,0 +1,52 @@
+package org.masticcroft.gateway.exchange;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Random;
+import java.util.Set;
+import org.masticcroft.gateway.http.Dialect;
+import org.masticcroft.gateway.http.HttpCaller;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.kernel.time.TimeSource;
+
+/** What a request needs of the process that handles it. */
+public interface ExchangeContext {
+    TimeSource time();
+
+    EventLoop loop();
+
+    Random random();
+
+    Dialect dialect();
+
+    HttpCaller caller();
+
+    DecisionLog log();
+
+    /** Returns the version of the configuration in force, for logs. */
+    long configVersion();
+
+    /** Returns when a caller that is refused should come back. */
+    Duration retryAfter();
+
+    /** Is called once when a request starts. */
+    void started(Exchange exchange, String service);
+
+    /** Lets a request wait for an upstream of a service. */
+    void enqueue(Exchange exchange, String service);
+
+    /** Removes a request that waits. */
+    void dequeue(Exchange exchange, String service);
+
+    /** Takes one further send of a request from the budget of a service; returns false if it is spent. */
+    boolean takeRetry(String service);
+
+    /** Returns whether a service has an upstream that takes requests and was not tried yet. */
+    boolean hasOther(String service, Set<String> tried);
+
+    /** Is called when an upstream has room again. */
+    void roomAt(String service);
+
+    /** Is called once when a request has ended. */
+    void ended(Exchange exchange, ExchangeEnd end);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryReply.java
@@ -0,0 +1,43 @@
+package org.masticcroft.gateway.fleet;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Reply to a read of a directory.
+ *
+ * @param status whether the read succeeded
+ * @param changes the records read, oldest first
+ * @param next offset to continue from
+ * @param reason why the read failed; empty otherwise
+ */
+public record DirectoryReply(Status status, List<FleetChange> changes, long next, String reason) {
+    /** Outcome of a read. */
+    public enum Status {
+        READ,
+        /** The wanted records are deleted; the directory has to be read as a whole. */
+        EXPIRED,
+        UNAVAILABLE
+    }
+
+    public DirectoryReply {
+        Objects.requireNonNull(status, "status");
+        Objects.requireNonNull(reason, "reason");
+        changes = List.copyOf(changes);
+    }
+
+    /** Creates the reply of a successful read. */
+    public static DirectoryReply read(List<FleetChange> changes, long next) {
+        return new DirectoryReply(Status.READ, changes, next, "");
+    }
+
+    /** Creates the reply of a read whose records are deleted. */
+    public static DirectoryReply expired() {
+        return new DirectoryReply(Status.EXPIRED, List.of(), 0, "records are deleted");
+    }
+
+    /** Creates the reply of a failed read. */
+    public static DirectoryReply unavailable(String reason) {
+        return new DirectoryReply(Status.UNAVAILABLE, List.of(), 0, reason);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetChange.java
@@ -0,0 +1,43 @@
+package org.masticcroft.gateway.fleet;
+
+import java.util.Objects;
+import org.masticcroft.gateway.config.GatewayConfig;
+
+/** A change that the operator or an upstream has published. */
+public sealed interface FleetChange {
+    /** A version of the configuration was accepted. */
+    record ConfigPublished(GatewayConfig config) implements FleetChange {
+        public ConfigPublished {
+            Objects.requireNonNull(config, "config");
+        }
+    }
+
+    /** A version of the weights of a model was named. */
+    record WeightsNamed(String model, long version) implements FleetChange {
+        public WeightsNamed {
+            Objects.requireNonNull(model, "model");
+        }
+    }
+
+    /** An upstream was added or its entry changed. */
+    record UpstreamListed(UpstreamListing listing) implements FleetChange {
+        public UpstreamListed {
+            Objects.requireNonNull(listing, "listing");
+        }
+    }
+
+    /** An upstream was removed from the list. */
+    record UpstreamRemoved(String id) implements FleetChange {
+        public UpstreamRemoved {
+            Objects.requireNonNull(id, "id");
+        }
+    }
+
+    /** A record that names nothing usable; the reason is logged. */
+    record Unreadable(String key, String reason) implements FleetChange {
+        public Unreadable {
+            Objects.requireNonNull(key, "key");
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/Dialect.java
@@ -0,0 +1,21 @@
+package org.masticcroft.gateway.http;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Translates between the headers of the platform and the types of the gateway. */
+public interface Dialect {
+    /** Decodes a request of a caller. */
+    CallerRequest decode(HttpRequest head, byte[] body);
+
+    /** Encodes the request that is passed on to an upstream. */
+    FullHttpRequest encode(CallerRequest request, Forwarding forwarding);
+
+    /** Decodes the head of an upstream's answer. */
+    AnswerHead decode(HttpResponse head);
+
+    /** Returns the headers of an upstream's answer that are passed on to the caller. */
+    HttpHeaders passedOn(HttpResponse head);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -0,0 +1,128 @@
+package org.masticcroft.gateway.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.kernel.time.TimeSource;
+
+/** HTTP server that serves one request at a time on each connection. Used on the event loop only. */
+public final class HttpServer {
+    /** Connections that wait to be accepted; a dropped one is sent again only after a second. */
+    private static final int BACKLOG = 1024;
+
+    /** Time between two looks for connections that were idle too long. */
+    private static final long SWEEP_MILLIS = 1000;
+
+    private static final int MAX_INITIAL_LINE_BYTES = 16_384;
+    private static final int MAX_HEADER_BYTES = 32_768;
+
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final RequestHandler handler;
+    private final Supplier<CallerLimits> limits;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private Channel listening;
+    private boolean draining;
+
+    private HttpServer(EventLoop loop, TimeSource time, Supplier<CallerLimits> limits, RequestHandler handler) {
+        this.loop = loop;
+        this.time = time;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /** Creates a server that calls the handler for each request. */
+    public static HttpServer of(
+            EventLoop loop, TimeSource time, Supplier<CallerLimits> limits, RequestHandler handler) {
+        return new HttpServer(
+                Objects.requireNonNull(loop, "loop"),
+                Objects.requireNonNull(time, "time"),
+                Objects.requireNonNull(limits, "limits"),
+                Objects.requireNonNull(handler, "handler"));
+    }
+
+    /** Binds the address and waits until the server listens. */
+    public void listen(Address address) {
+        listening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(address.socketAddress())
+                .syncUninterruptibly()
+                .channel();
+        loop.scheduleAtFixedRate(this::closeIdleTooLong, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends each connection with its next answer from now on. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Closes the connections that carry no request, and accepts no further ones. */
+    public void closeIdle() {
+        listening.close();
+        new ArrayList<>(connections).forEach(CallerConnection::closeIfIdle);
+    }
+
+    /** Returns the number of requests without a complete answer. */
+    public int openRequests() {
+        return (int) connections.stream().filter(CallerConnection::busy).count();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    CallerLimits limits() {
+        return limits.get();
+    }
+
+    RequestHandler handler() {
+        return handler;
+    }
+
+    TimeSource time() {
+        return time;
+    }
+
+    void remove(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void accept(Channel channel) {
+        CallerConnection connection = new CallerConnection(this);
+        connections.add(connection);
+        HttpDecoderConfig config = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES);
+        channel.pipeline().addLast(new HttpServerCodec(config), connection);
+    }
+
+    private void closeIdleTooLong() {
+        Duration limit = limits().idleTimeout();
+        for (CallerConnection connection : new ArrayList<>(connections)) {
+            connection.closeIfIdleFor(limit);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log of decisions. */
+package org.masticcroft.gateway.log;
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -0,0 +1,203 @@
+package org.masticcroft.gateway.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.fleet.Directory;
+import org.masticcroft.gateway.fleet.DirectoryReply;
+import org.masticcroft.gateway.fleet.FleetChange;
+import org.masticcroft.gateway.generated.Datagram;
+import org.masticcroft.gateway.generated.EngineLoad;
+import org.masticcroft.gateway.generated.HeldPieces;
+import org.masticcroft.gateway.generated.NamedWeights;
+import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.http.AnswerWriter;
+import org.masticcroft.gateway.http.HttpServer;
+import org.masticcroft.gateway.load.DatagramPort;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.weights.EngineReport;
+import org.masticcroft.gateway.weights.OwnEngine;
+import org.masticcroft.gateway.weights.PeerWeights;
+import org.masticcroft.gateway.weights.WeightsKeeper;
+import org.masticcroft.gateway.weights.WeightsSources;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.time.TimeSource;
+
+/** A sidecar: keeps the weights of the engine beside it current and states its load to the entries. */
+public final class SidecarNode implements Node {
+    /** Pause between two reads of the engine's report, which stay on the machine. */
+    private static final long REPORT_MILLIS = 100;
+
+    /** Time after which an entry that no longer subscribes gets no reports. */
+    private static final Duration SUBSCRIPTION_LIFETIME = Duration.ofMillis(3500);
+
+    /** Pause between two statements of held pieces while weights are on their way. */
+    private static final long STATE_PIECES_MILLIS = 120;
+
+    /** Pause between two reads of the list of upstreams while weights are on their way. */
+    private static final long LIST_MILLIS = 2500;
+
+    /** Pause before a failed read of the store is repeated. */
+    private static final long STORE_RETRY_MILLIS = 500;
+
+    /** Pause between two reads of the operator's log; the entries pass new versions on sooner. */
+    private static final long OPERATOR_MILLIS = 15_000;
+
+    private final NodeSettings settings;
+    private final TimeSource time;
+    private final EventLoop loop;
+    private final DecisionLog log;
+    private final NodeParts parts;
+    private final OwnEngine engine;
+    private final DatagramPort datagrams;
+    private final HttpServer peerServer;
+    private final WeightsKeeper keeper;
+    private final String service;
+    private final Map<Address, Long> subscribers = new HashMap<>();
+    private boolean reporting;
+    private long listedNanos;
+    private boolean listRead;
+
+    private SidecarNode(
+            NodeSettings settings, NodeParts parts, String service, OwnEngine engine, WeightsSources sources) {
+        this.settings = settings;
+        this.parts = parts;
+        this.time = parts.time();
+        this.loop = parts.loop();
+        this.log = parts.log();
+        this.engine = engine;
+        this.service = service;
+        this.datagrams = DatagramPort.of(loop, log);
+        this.keeper = WeightsKeeper.of(settings, parts, engine, sources, service);
+        this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handOut);
+    }
+
+    /**
+     * Creates a sidecar that is not started yet.
+     *
+     * @param settings settings of the process
+     * @param parts what a node is built from
+     * @param service name of the service that the engine offers
+     * @param engine the engine beside the process
+     * @param sources sources of weights
+     */
+    public static SidecarNode of(
+            NodeSettings settings, NodeParts parts, String service, OwnEngine engine, WeightsSources sources) {
+        return new SidecarNode(settings, parts, service, engine, sources);
+    }
+
+    @Override
+    public void start() {
+        datagrams.listen(settings.peerAddress(), this::received);
+        peerServer.listen(settings.peerAddress());
+        loop.execute(this::readOperator);
+        loop.scheduleAtFixedRate(this::readReport, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::statePieces, STATE_PIECES_MILLIS, STATE_PIECES_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop(Runnable finished) {
+        loop.execute(finished);
+    }
+
+    private void readOperator() {
+        parts.store().readAll(Directory.OPERATOR, reply -> {
+            boolean read = reply.status() == DirectoryReply.Status.READ;
+            if (read) {
+                reply.changes().forEach(this::apply);
+            } else {
+                log.write(Event.STORE_LOST, "directory", Directory.OPERATOR, "reason", reply.reason());
+            }
+            loop.schedule(this::readOperator, read ? OPERATOR_MILLIS : STORE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void apply(FleetChange change) {
+        if (change instanceof FleetChange.ConfigPublished published) {
+            keeper.configured(published.config());
+        } else if (change instanceof FleetChange.WeightsNamed named) {
+            keeper.named(named.model(), named.version());
+        }
+    }
+
+    private void readList() {
+        if (listRead && time.since(listedNanos).toMillis() < LIST_MILLIS) {
+            return;
+        }
+        listRead = true;
+        listedNanos = time.nanoTime();
+        parts.store().readAll(Directory.UPSTREAMS, reply -> {
+            if (reply.status() == DirectoryReply.Status.READ) {
+                keeper.listed(reply.changes(), service);
+            } else {
+                log.write(Event.STORE_LOST, "directory", Directory.UPSTREAMS, "reason", reply.reason());
+            }
+        });
+    }
+
+    private void readReport() {
+        if (reporting) {
+            return;
+        }
+        reporting = true;
+        engine.report(report -> {
+            reporting = false;
+            report.ifPresent(this::reported);
+        });
+        if (keeper.needsPeers()) {
+            readList();
+        }
+        keeper.tick();
+    }
+
+    private void reported(EngineReport report) {
+        keeper.reported(report);
+        long now = time.nanoTime();
+        subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
+        EngineLoad load = EngineLoad.newBuilder()
+                .setStartMillis(report.startMillis())
+                .setPort(settings.engine().orElseThrow().port())
+                .setRunning(report.running())
+                .setQueued(report.queued())
+                .setLoading(report.busy())
+                .setServedVersion(report.loadedVersion().orElse(0))
+                .build();
+        Datagram datagram = Datagram.newBuilder().setLoad(load).build();
+        subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
+    }
+
+    private void statePieces() {
+        Optional<HeldPieces> held = keeper.statement();
+        if (held.isPresent()) {
+            Datagram datagram = Datagram.newBuilder().setHeld(held.get()).build();
+            keeper.others().forEach(ip -> datagrams.send(new Address(ip, settings.peerPort()), datagram));
+        }
+    }
+
+    private void received(Address sender, Datagram datagram) {
+        if (datagram.hasSubscription()) {
+            subscribers.put(sender, time.nanoTime());
+            for (NamedWeights named : datagram.getSubscription().getNamedList()) {
+                keeper.named(named.getModel(), named.getVersion());
+            }
+        } else if (datagram.hasHeld()) {
+            HeldPieces held = datagram.getHeld();
+            keeper.stated(sender, held);
+        }
+    }
+
+    private void handOut(HttpRequest head, byte[] body, AnswerWriter writer) {
+        Optional<byte[]> data = PeerWeights.parse(head.uri()).flatMap(keeper::handOut);
+        writer.whole(
+                data.isPresent() ? 200 : 404,
+                new DefaultHttpHeaders(),
+                data.map(Unpooled::wrappedBuffer).orElse(Unpooled.EMPTY_BUFFER));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/package-info.java
@@ -0,0 +1,2 @@
+/** The two roles of a process. */
+package org.masticcroft.gateway.node;
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/package-info.java
@@ -0,0 +1,2 @@
+/** How new weights get onto the engine of a machine. */
+package org.masticcroft.gateway.weights;
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -5,11 +5,16 @@
     PROCESS_STARTED(1000, "The process has started and lists its role and addresses."),
     PROCESS_DRAINING(1001, "The process received SIGTERM and finishes the work in progress."),
     PROCESS_STOPPED(1002, "The process has finished its work and exits."),
+    SETTINGS_RELOADED(1003, "The process was told that its settings file changed; the effect is given."),
+    READINESS_CHANGED(1004, "The entry asks for new connections, or no longer does; the reasons are given."),
+    MACHINE_SUSPENDED(1005, "The wall clock ran ahead of the monotonic clock; what was confirmed before is void."),
+    LOG_LINES_DROPPED(1006, "Log lines did not fit into the queue of the log; their number is given."),
     CONFIG_APPLIED(1100, "A configuration version took effect in this process."),
     CONFIG_UNCONFIRMED(1101, "The log could not be read for longer than the confirmation bound."),
     CONFIG_CONFIRMED(1102, "The configuration was confirmed against the log again."),
     CONFIG_RECORD_IGNORED(1103, "A record of the configuration stream has no effect; the reason is given."),
     CONFIG_SNAPSHOT_APPENDED(1104, "A snapshot of the configuration was re-published before retention."),
+    WEIGHTS_NAMED(1105, "The operator named a new version of the weights of a model."),
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
@@ -54,6 +59,10 @@
     PEER_UNREACHABLE(1600, "A peer process could not be reached."),
     LOG_UNAVAILABLE(1601, "The log service did not answer or refused."),
     INSTANCE_LIST_UNAVAILABLE(1602, "The instance list could not be read; the last one stays in use."),
+    STORE_LOST(1603, "The platform's store did not answer a read or refused it; the reason is given."),
+    STORE_REGAINED(1604, "The platform's store answers again."),
+    DIRECTORY_EXPIRED(1605, "The records to continue from are deleted; the directory is read as a whole."),
+    DATAGRAM_UNREADABLE(1606, "A datagram could not be decoded and was dropped."),
     INTERNAL_ERROR(1900, "An unexpected error was handled; its stack trace is attached.");
 
     private final int number;
--- a/kernel/src/main/java/org/masticcroft/kernel/event/EventLog.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/EventLog.java
@@ -29,7 +29,8 @@
         LOGGER.atSevere().withCause(cause).log("%s", format(event, keysAndValues));
     }
 
-    static String format(Event event, Object... keysAndValues) {
+    /** Returns the line of an event without time and level. */
+    public static String format(Event event, Object... keysAndValues) {
         Objects.requireNonNull(event, "event");
         StringBuilder line =
                 new StringBuilder("E").append(event.number()).append(' ').append(event.name());
--- a/entry/src/main/java/org/masticcroft/entry/policy/RetryAllowance.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/RetryAllowance.java
@@ -1,9 +1,8 @@
-package org.masticcroft.entry.policy;
+package org.masticcroft.kernel.retry;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
-import org.masticcroft.kernel.retry.RetryBudget;
 
 /**
  * Adds a small allowance to a budget that is a share of first attempts. With less than ten first attempts in its window
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticcroft.kernel.hash.RendezvousHash;
@@ -19,17 +20,24 @@
      */
     static final int OUTSIDE_WINDOW = 8;
 
-    /** Time without progress after which the second in order takes over a chunk. */
-    static final long FIRST_TAKEOVER_MILLIS = 10_000;
+    /** Patience for weights of many gigabytes, whose chunks take seconds. */
+    static final Patience DEFAULT_PATIENCE = new Patience(10_000, 2_000, 20_000);
 
-    /** Further time without progress for each further place in the order. */
-    static final long TAKEOVER_STEP_MILLIS = 2_000;
-
-    /** Time without progress after which a region that waits for another one draws from the store. */
-    static final long STORE_FALLBACK_MILLIS = 20_000;
+    private final Patience patience;
 
     /** Creates the plug-in; used by the service loader. */
-    public RegionalSwarmPlanner() {}
+    public RegionalSwarmPlanner() {
+        this(DEFAULT_PATIENCE);
+    }
+
+    private RegionalSwarmPlanner(Patience patience) {
+        this.patience = patience;
+    }
+
+    /** Creates a planner with other times until a member takes over. */
+    public static RegionalSwarmPlanner of(Patience patience) {
+        return new RegionalSwarmPlanner(Objects.requireNonNull(patience, "patience"));
+    }
 
     @Override
     public String name() {
@@ -68,7 +76,7 @@
         return rarest < 0 ? Optional.empty() : Optional.of(fromPeer(rarest, sources, random, "rarest-in-region"));
     }
 
-    private static Optional<Fetch> fromOutside(FetchView view, UniformRandomProvider random) {
+    private Optional<Fetch> fromOutside(FetchView view, UniformRandomProvider random) {
         BitSet inRegion = (BitSet) view.held().clone();
         view.peers().stream().filter(FetchView.Peer::sameRegion).forEach(peer -> inRegion.or(peer.chunks()));
         int chunk = inRegion.nextClearBit(0);
@@ -84,7 +92,7 @@
         return Optional.empty();
     }
 
-    private static Optional<Fetch> outsideSource(int chunk, FetchView view, UniformRandomProvider random) {
+    private Optional<Fetch> outsideSource(int chunk, FetchView view, UniformRandomProvider random) {
         boolean storeUsable = view.store().suspectedUntilMillis() <= view.sinceStartMillis();
         if (view.store().firstRegion() && storeUsable) {
             return Optional.of(new Fetch(chunk, new Fetch.Source.Store(), "owner-from-store"));
@@ -96,7 +104,7 @@
         if (!otherRegions.isEmpty()) {
             return Optional.of(fromPeer(chunk, otherRegions, random, "owner-from-region"));
         }
-        return storeUsable && view.lastProgressMillis() >= STORE_FALLBACK_MILLIS
+        return storeUsable && view.lastProgressMillis() >= patience.storeFallbackMillis()
                 ? Optional.of(new Fetch(chunk, new Fetch.Source.Store(), "store-fallback"))
                 : Optional.empty();
     }
@@ -118,7 +126,7 @@
     }
 
     /** Returns whether this sidecar is the owner of the chunk or has to take over by now. */
-    private static boolean isTurn(int chunk, FetchView view) {
+    private boolean isTurn(int chunk, FetchView view) {
         long own = RendezvousHash.score(chunk, view.self());
         long place = 0;
         for (String member : view.regionMembers()) {
@@ -126,6 +134,18 @@
                 place++;
             }
         }
-        return place == 0 || view.lastProgressMillis() >= FIRST_TAKEOVER_MILLIS + (place - 1) * TAKEOVER_STEP_MILLIS;
+        return place == 0
+                || view.lastProgressMillis()
+                        >= patience.firstTakeoverMillis() + (place - 1) * patience.takeoverStepMillis();
     }
+
+    /**
+     * How long members wait for each other.
+     *
+     * @param firstTakeoverMillis time without progress after which the second in order takes over a chunk
+     * @param takeoverStepMillis further time without progress for each further place in the order
+     * @param storeFallbackMillis time without progress after which a region that waits for another one draws from the
+     *     store
+     */
+    public record Patience(long firstTakeoverMillis, long takeoverStepMillis, long storeFallbackMillis) {}
 }
--- a/entry/src/test/java/org/masticcroft/entry/policy/RetryAllowanceTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/retry/RetryAllowanceTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.entry.policy;
+package org.masticcroft.kernel.retry;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,8 +6,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.masticcroft.kernel.retry.RetryBudget;
-import org.masticcroft.kernel.retry.SlidingRetryBudget;
 
 class RetryAllowanceTest {
     private final RetryBudget budget = RetryAllowance.above(SlidingRetryBudget.of());
--- a/platform/src/main/java/org/masticcroft/platform/config/ConfigPeerHandler.java
+++ b/ports/src/main/java/org/masticcroft/ports/config/ConfigPeerHandler.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.config;
+package org.masticcroft.ports.config;
 
 import com.google.protobuf.ByteString;
 import java.util.Objects;
--- a/platform/src/main/java/org/masticcroft/platform/config/ConfigTracker.java
+++ b/ports/src/main/java/org/masticcroft/ports/config/ConfigTracker.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.config;
+package org.masticcroft.ports.config;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -22,12 +22,12 @@
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.instance.InstanceList;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.instance.InstanceList;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 import org.masticcroft.wire.PeerClient;
 
 /**
--- a/platform/src/main/java/org/masticcroft/platform/config/PeerConfigSource.java
+++ b/ports/src/main/java/org/masticcroft/ports/config/PeerConfigSource.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.config;
+package org.masticcroft.ports.config;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
--- a/platform/src/main/java/org/masticcroft/platform/engine/CommandResult.java
+++ b/ports/src/main/java/org/masticcroft/ports/engine/CommandResult.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 /** Result of a command that the engine answered. */
 public enum CommandResult {
--- a/platform/src/main/java/org/masticcroft/platform/engine/EngineClient.java
+++ b/ports/src/main/java/org/masticcroft/ports/engine/EngineClient.java
@@ -1,9 +1,9 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
-import org.masticcroft.platform.service.UpstreamCall;
-import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.ports.service.UpstreamCall;
+import org.masticcroft.ports.weights.Manifest;
 
 /**
  * Client of one engine. Safe for use by many threads. All methods but {@link #open} block. Every failure is a
--- a/platform/src/main/java/org/masticcroft/platform/engine/EngineRequest.java
+++ b/ports/src/main/java/org/masticcroft/ports/engine/EngineRequest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 import java.util.Objects;
 import org.masticcroft.kernel.id.WeightsDigest;
--- a/platform/src/main/java/org/masticcroft/platform/engine/EngineState.java
+++ b/ports/src/main/java/org/masticcroft/ports/engine/EngineState.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- a/platform/src/main/java/org/masticcroft/platform/engine/HttpEngineClient.java
+++ b/ports/src/main/java/org/masticcroft/ports/engine/HttpEngineClient.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -22,11 +22,11 @@
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.service.HttpServiceClient;
-import org.masticcroft.platform.service.UpstreamCall;
-import org.masticcroft.platform.service.UpstreamRequest;
-import org.masticcroft.platform.service.UpstreamResponse;
-import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.ports.service.HttpServiceClient;
+import org.masticcroft.ports.service.UpstreamCall;
+import org.masticcroft.ports.service.UpstreamRequest;
+import org.masticcroft.ports.service.UpstreamResponse;
+import org.masticcroft.ports.weights.Manifest;
 
 /** {@link EngineClient} over HTTP/1.1. */
 public final class HttpEngineClient implements EngineClient {
--- /dev/null
+++ b/ports/src/main/java/org/masticcroft/ports/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the engines. */
+package org.masticcroft.ports.engine;
--- a/platform/src/main/java/org/masticcroft/platform/instance/HttpInstanceList.java
+++ b/ports/src/main/java/org/masticcroft/ports/instance/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.instance;
+package org.masticcroft.ports.instance;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- /dev/null
+++ b/ports/src/main/java/org/masticcroft/ports/instance/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the instance list. */
+package org.masticcroft.ports.instance;
--- a/platform/src/main/java/org/masticcroft/platform/log/HttpLogService.java
+++ b/ports/src/main/java/org/masticcroft/ports/log/HttpLogService.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.log;
+package org.masticcroft.ports.log;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- a/platform/src/main/java/org/masticcroft/platform/log/LogRecord.java
+++ b/ports/src/main/java/org/masticcroft/ports/log/LogRecord.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.log;
+package org.masticcroft.ports.log;
 
 import java.time.Instant;
 import java.util.Objects;
--- a/platform/src/main/java/org/masticcroft/platform/log/Streams.java
+++ b/ports/src/main/java/org/masticcroft/ports/log/Streams.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.log;
+package org.masticcroft.ports.log;
 
 /** Names of the log streams. */
 public final class Streams {
--- /dev/null
+++ b/ports/src/main/java/org/masticcroft/ports/log/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the log service. */
+package org.masticcroft.ports.log;
--- a/platform/src/main/java/org/masticcroft/platform/service/HttpServiceClient.java
+++ b/ports/src/main/java/org/masticcroft/ports/service/HttpServiceClient.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.service;
+package org.masticcroft.ports.service;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/platform/src/main/java/org/masticcroft/platform/service/ServiceClient.java
+++ b/ports/src/main/java/org/masticcroft/ports/service/ServiceClient.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.service;
+package org.masticcroft.ports.service;
 
 import org.masticcroft.kernel.error.MasticcroftException;
 
--- /dev/null
+++ b/ports/src/main/java/org/masticcroft/ports/service/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the plain services. */
+package org.masticcroft.ports.service;
--- a/platform/src/main/java/org/masticcroft/platform/weights/HttpWeightSource.java
+++ b/ports/src/main/java/org/masticcroft/ports/weights/HttpWeightSource.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
--- a/platform/src/main/java/org/masticcroft/platform/weights/Manifest.java
+++ b/ports/src/main/java/org/masticcroft/ports/weights/Manifest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonProperty;
--- a/platform/src/main/java/org/masticcroft/platform/weights/Sha256.java
+++ b/ports/src/main/java/org/masticcroft/ports/weights/Sha256.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
--- a/platform/src/main/java/org/masticcroft/platform/weights/WeightSource.java
+++ b/ports/src/main/java/org/masticcroft/ports/weights/WeightSource.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
 
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
--- a/platform/src/main/java/org/masticcroft/platform/weights/package-info.java
+++ b/ports/src/main/java/org/masticcroft/ports/weights/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the weight store and the origin. */
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
--- a/platform/src/test/java/org/masticcroft/platform/config/ConfigTrackerTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/config/ConfigTrackerTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.config;
+package org.masticcroft.ports.config;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,12 +23,12 @@
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.time.ManualTimeSource;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.log.InMemoryLogService;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.log.InMemoryLogService;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 import org.masticcroft.wire.PeerCall;
 import org.masticcroft.wire.PeerCallListener;
 import org.masticcroft.wire.PeerClient;
--- a/platform/src/test/java/org/masticcroft/platform/engine/UpstreamClientTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/engine/UpstreamClientTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.engine;
+package org.masticcroft.ports.engine;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -21,8 +21,8 @@
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.service.HttpServiceClient;
-import org.masticcroft.platform.service.UpstreamRequest;
+import org.masticcroft.ports.service.HttpServiceClient;
+import org.masticcroft.ports.service.UpstreamRequest;
 
 class UpstreamClientTest {
     private static final WeightsDigest DIGEST = WeightsDigest.of("sha256:" + "a".repeat(64));
--- a/platform/src/test/java/org/masticcroft/platform/instance/HttpInstanceListTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/instance/HttpInstanceListTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.instance;
+package org.masticcroft.ports.instance;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/org/masticcroft/platform/log/HttpLogServiceTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/log/HttpLogServiceTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.log;
+package org.masticcroft.ports.log;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/platform/src/test/java/org/masticcroft/platform/weights/WeightSourceTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/weights/WeightSourceTest.java
@@ -1,4 +1,4 @@
-package org.masticcroft.platform.weights;
+package org.masticcroft.ports.weights;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/service/src/main/java/org/masticcroft/service/EntryCommand.java
+++ b/service/src/main/java/org/masticcroft/service/EntryCommand.java
@@ -10,7 +10,7 @@
 import org.masticcroft.entry.EntryRole;
 import org.masticcroft.entry.EntrySettings;
 import org.masticcroft.entry.version.ConfigCatchUp;
-import org.masticcroft.platform.config.ConfigPeerHandler;
+import org.masticcroft.ports.config.ConfigPeerHandler;
 import org.masticcroft.service.http.HttpSettings;
 import org.masticcroft.service.http.ServiceApplication;
 import org.masticcroft.service.process.ServiceContext;
--- a/service/src/main/java/org/masticcroft/service/SidecarCommand.java
+++ b/service/src/main/java/org/masticcroft/service/SidecarCommand.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.service.http.HttpSettings;
 import org.masticcroft.service.http.ServiceApplication;
 import org.masticcroft.service.process.ServiceContext;
--- a/service/src/main/java/org/masticcroft/service/process/AppendBudget.java
+++ b/service/src/main/java/org/masticcroft/service/process/AppendBudget.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.instance.InstanceList;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.instance.InstanceList;
 
 /**
  * Stretches the flush intervals of the account with the size of the fleet, so that all writers together stay within
--- a/service/src/test/java/org/masticcroft/service/process/AppendBudgetTest.java
+++ b/service/src/test/java/org/masticcroft/service/process/AppendBudgetTest.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 
 class AppendBudgetTest {
     private static AppendBudget fleet(int entries, int sidecars) {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarRole.java
@@ -9,7 +9,7 @@
 import java.util.function.BooleanSupplier;
 import org.masticcroft.kernel.config.ConfigView;
 import org.masticcroft.kernel.lifecycle.Role;
-import org.masticcroft.platform.config.ConfigPeerHandler;
+import org.masticcroft.ports.config.ConfigPeerHandler;
 import org.masticcroft.sidecar.dispatch.Dispatcher;
 import org.masticcroft.sidecar.status.LeavingNotifier;
 import org.masticcroft.wire.PeerServer;
--- a/sidecar/src/main/java/org/masticcroft/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/SidecarSettings.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 
 /**
  * Settings of a sidecar.
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/ActiveDispatch.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/ActiveDispatch.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.masticcroft.kernel.error.ErrorCode;
-import org.masticcroft.platform.service.UpstreamCall;
+import org.masticcroft.ports.service.UpstreamCall;
 import org.masticcroft.wire.PeerResponder;
 import org.masticcroft.wire.generated.Dispatch;
 
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/DispatchJournal.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/DispatchJournal.java
@@ -11,7 +11,7 @@
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.weights.Sha256;
+import org.masticcroft.ports.weights.Sha256;
 import org.masticcroft.wire.generated.Dispatch;
 
 /** Writes the audit record, the log line and the metrics of each dispatch. */
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Gateway.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/Gateway.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.platform.service.UpstreamCall;
-import org.masticcroft.platform.service.UpstreamResponse;
+import org.masticcroft.ports.service.UpstreamCall;
+import org.masticcroft.ports.service.UpstreamResponse;
 import org.masticcroft.wire.generated.Dispatch;
 
 /** The upstream as the dispatch path sees it. Safe for use by many threads. */
--- a/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/ServiceGateway.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/dispatch/ServiceGateway.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.masticcroft.kernel.error.ErrorCode;
-import org.masticcroft.platform.service.ServiceClient;
-import org.masticcroft.platform.service.UpstreamCall;
-import org.masticcroft.platform.service.UpstreamRequest;
-import org.masticcroft.platform.service.UpstreamResponse;
+import org.masticcroft.ports.service.ServiceClient;
+import org.masticcroft.ports.service.UpstreamCall;
+import org.masticcroft.ports.service.UpstreamRequest;
+import org.masticcroft.ports.service.UpstreamResponse;
 import org.masticcroft.wire.generated.Dispatch;
 
 /** A plain service. */
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/BitmapExchange.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/BitmapExchange.java
@@ -9,7 +9,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.wire.PeerClient;
 import org.masticcroft.wire.generated.Envelope;
 import org.masticcroft.wire.generated.HaveReply;
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetchJob.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetchJob.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
-import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.ports.weights.Manifest;
 
 /** The fetch of one set of weights into one incarnation of the engine. Guarded by the lock of the fetcher. */
 final class FetchJob {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetcherAssembly.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/FetcherAssembly.java
@@ -1,8 +1,8 @@
 package org.masticcroft.sidecar.fetch;
 
 import org.apache.commons.rng.simple.RandomSource;
-import org.masticcroft.platform.engine.EngineClient;
-import org.masticcroft.platform.weights.WeightSource;
+import org.masticcroft.ports.engine.EngineClient;
+import org.masticcroft.ports.weights.WeightSource;
 import org.masticcroft.sidecar.target.ManifestCache;
 import org.masticcroft.wire.PeerClient;
 
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/Members.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/Members.java
@@ -9,8 +9,8 @@
 import org.masticcroft.kernel.config.DeploymentConfig;
 import org.masticcroft.kernel.config.FleetConfig;
 import org.masticcroft.kernel.id.WeightsDigest;
-import org.masticcroft.platform.instance.Instance;
-import org.masticcroft.platform.instance.InstanceList;
+import org.masticcroft.ports.instance.Instance;
+import org.masticcroft.ports.instance.InstanceList;
 import org.masticcroft.sidecar.SidecarSettings;
 import org.masticcroft.sidecar.target.Target;
 
--- a/sidecar/src/main/java/org/masticcroft/sidecar/fetch/PeerTable.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/fetch/PeerTable.java
@@ -13,7 +13,7 @@
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.rollout.FetchView;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.instance.Instance;
+import org.masticcroft.ports.instance.Instance;
 
 /** What is known about the peers that hold chunks of the weights being fetched. */
 final class PeerTable {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/lease/LeaseHolder.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/lease/LeaseHolder.java
@@ -14,10 +14,10 @@
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.log.LogPage;
-import org.masticcroft.platform.log.LogRecord;
-import org.masticcroft.platform.log.LogService;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogRecord;
+import org.masticcroft.ports.log.LogService;
+import org.masticcroft.ports.log.Streams;
 
 /** Holds the lease on one upstream, as long as no newer lease record exists. */
 public final class LeaseHolder {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/status/StatusReporter.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/status/StatusReporter.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.masticcroft.kernel.config.ConfigView;
-import org.masticcroft.platform.engine.EngineState;
+import org.masticcroft.ports.engine.EngineState;
 import org.masticcroft.sidecar.SidecarSettings;
 import org.masticcroft.sidecar.WeightsSide;
 import org.masticcroft.sidecar.target.Target;
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineCommands.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineCommands.java
@@ -14,9 +14,9 @@
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.engine.CommandResult;
-import org.masticcroft.platform.engine.EngineClient;
-import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.ports.engine.CommandResult;
+import org.masticcroft.ports.engine.EngineClient;
+import org.masticcroft.ports.weights.Manifest;
 import org.masticcroft.sidecar.lease.LeaseHolder;
 
 /** Gives commands to the engine while the lease is held and the configuration is confirmed, and records them. */
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineMonitor.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/EngineMonitor.java
@@ -9,8 +9,8 @@
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.engine.EngineClient;
-import org.masticcroft.platform.engine.EngineState;
+import org.masticcroft.ports.engine.EngineClient;
+import org.masticcroft.ports.engine.EngineState;
 
 /** The newest state that the engine reported. */
 public final class EngineMonitor {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/ManifestCache.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/ManifestCache.java
@@ -12,8 +12,8 @@
 import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.platform.weights.Manifest;
-import org.masticcroft.platform.weights.WeightSource;
+import org.masticcroft.ports.weights.Manifest;
+import org.masticcroft.ports.weights.WeightSource;
 
 /** Manifests by weights digest, read from the weight source in the background. Guarded by its monitor. */
 public final class ManifestCache {
--- a/sidecar/src/main/java/org/masticcroft/sidecar/target/Reconciler.java
+++ b/sidecar/src/main/java/org/masticcroft/sidecar/target/Reconciler.java
@@ -17,8 +17,8 @@
 import org.masticcroft.kernel.placement.EngineView;
 import org.masticcroft.kernel.placement.PlacementPlanner;
 import org.masticcroft.kernel.placement.PlacementStep;
-import org.masticcroft.platform.engine.EngineState;
-import org.masticcroft.platform.weights.Manifest;
+import org.masticcroft.ports.engine.EngineState;
+import org.masticcroft.ports.weights.Manifest;
 import org.masticcroft.sidecar.lease.LeaseHolder;
 
 /** Compares the state of the engine with the configuration and takes the steps that the placement planner names. */
--- a/sidecar/src/test/java/org/masticcroft/sidecar/FakeEngine.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/FakeEngine.java
@@ -14,14 +14,14 @@
 import org.masticcroft.kernel.error.MasticcroftException;
 import org.masticcroft.kernel.id.WeightsDigest;
 import org.masticcroft.kernel.verdict.Verdict;
-import org.masticcroft.platform.engine.CommandResult;
-import org.masticcroft.platform.engine.EngineClient;
-import org.masticcroft.platform.engine.EngineRequest;
-import org.masticcroft.platform.engine.EngineState;
-import org.masticcroft.platform.service.UpstreamCall;
-import org.masticcroft.platform.service.UpstreamResponse;
-import org.masticcroft.platform.weights.Manifest;
-import org.masticcroft.platform.weights.Sha256;
+import org.masticcroft.ports.engine.CommandResult;
+import org.masticcroft.ports.engine.EngineClient;
+import org.masticcroft.ports.engine.EngineRequest;
+import org.masticcroft.ports.engine.EngineState;
+import org.masticcroft.ports.service.UpstreamCall;
+import org.masticcroft.ports.service.UpstreamResponse;
+import org.masticcroft.ports.weights.Manifest;
+import org.masticcroft.ports.weights.Sha256;
 
 /** Engine in memory, whose faults are switched by the test. */
 public final class FakeEngine implements EngineClient {
--- a/sidecar/src/test/java/org/masticcroft/sidecar/LeaseHolderTest.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/LeaseHolderTest.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.masticcroft.platform.log.Streams;
+import org.masticcroft.ports.log.Streams;
 import org.masticcroft.sidecar.lease.LeaseHolder;
 import org.masticcroft.sidecar.lease.LeaseRecord;
 
--- a/sidecar/src/test/java/org/masticcroft/sidecar/Weights.java
+++ b/sidecar/src/test/java/org/masticcroft/sidecar/Weights.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-import org.masticcroft.platform.weights.Manifest;
-import org.masticcroft.platform.weights.Sha256;
+import org.masticcroft.ports.weights.Manifest;
+import org.masticcroft.ports.weights.Sha256;
 
 /** Small weights for tests: chunks of four bytes. */
 public record Weights(Manifest manifest, List<byte[]> chunks) {
