--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -96,7 +96,7 @@
     public void onContent(ByteBuf content) {
         heard();
         if (!streaming()) {
-            body = body.isReadable() ? Unpooled.wrappedBuffer(body, content.copy()) : content.copy();
+            body = Unpooled.copiedBuffer(body, content);
             return;
         }
         ByteBuf passed = exchange.events().read(content);
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpCaller.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpCaller.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import org.masticcroft.kernel.time.TimeSource;
 
 /** HTTP client with a pool of connections for each address. Used on the event loop only. */
@@ -25,6 +26,10 @@
     /** Idle connections that are kept for each address; more than the requests that one upstream runs at a time. */
     private static final int MAX_IDLE_PER_ADDRESS = 24;
 
+    /** Time after which an idle connection is closed; it counts against the limit of the other side. */
+    private static final Duration IDLE_LIFETIME = Duration.ofMillis(1600);
+
+    private static final long SWEEP_MILLIS = 400;
     private static final int MAX_INITIAL_LINE_BYTES = 4096;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 16_384;
@@ -40,7 +45,9 @@
 
     /** Creates a client that runs on the given event loop. */
     public static HttpCaller of(EventLoop loop, TimeSource time) {
-        return new HttpCaller(Objects.requireNonNull(loop, "loop"), Objects.requireNonNull(time, "time"));
+        HttpCaller caller = new HttpCaller(Objects.requireNonNull(loop, "loop"), Objects.requireNonNull(time, "time"));
+        loop.scheduleAtFixedRate(caller::closeOld, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        return caller;
     }
 
     /**
@@ -89,6 +96,14 @@
         return time;
     }
 
+    private void closeOld() {
+        for (Deque<CallerChannel> channels : idle.values()) {
+            while (!channels.isEmpty() && !channels.peekFirst().usableAfter(IDLE_LIFETIME)) {
+                channels.removeFirst().close();
+            }
+        }
+    }
+
     private CallerChannel takeIdle(Address address, Duration reuse) {
         Deque<CallerChannel> channels = idle.get(address);
         if (channels == null || reuse.isZero()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/WholeCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/WholeCall.java
@@ -52,7 +52,7 @@
 
     @Override
     public void onContent(ByteBuf content) {
-        body = body.isReadable() ? Unpooled.wrappedBuffer(body, content.copy()) : content.copy();
+        body = Unpooled.copiedBuffer(body, content);
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -67,7 +67,7 @@
     private static final double READY_SHARE = 0.6;
 
     /** Time before the bound on old weights at which new requests stop going to them; they may wait in an engine. */
-    private static final Duration VERSION_MARGIN = Duration.ofMillis(1500);
+    private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
 
     /** Part of the operators' share of retries that one entry uses; arrivals may be counted in other windows. */
     private static final double RETRY_SHARE_USED = 0.7;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -16,6 +16,7 @@
  * @param callers where callers connect; empty for a sidecar
  * @param readiness where readiness is asked for; empty for a sidecar
  * @param peerPort port of the processes of the fleet among themselves, the same on all machines
+ * @param linkMbitPerSecond rate of the machine's link, in megabits per second
  * @param store address of the platform's store
  * @param engine address of the engine beside a sidecar; empty for an entry
  * @param bounds times and shares that the operators state
@@ -28,6 +29,7 @@
         Optional<Address> callers,
         Optional<Address> readiness,
         int peerPort,
+        double linkMbitPerSecond,
         Address store,
         Optional<Address> engine,
         Bounds bounds) {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.config.CallerLimits;
@@ -24,6 +25,7 @@
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.weights.EngineReport;
 import org.masticcroft.gateway.weights.OwnEngine;
+import org.masticcroft.gateway.weights.PacedUploads;
 import org.masticcroft.gateway.weights.PeerWeights;
 import org.masticcroft.gateway.weights.WeightsKeeper;
 import org.masticcroft.gateway.weights.WeightsSources;
@@ -33,7 +35,7 @@
 /** A sidecar: keeps the weights of the engine beside it current and states its load to the entries. */
 public final class SidecarNode implements Node {
     /** Pause between two reads of the engine's report, which stay on the machine. */
-    private static final long REPORT_MILLIS = 100;
+    private static final long REPORT_MILLIS = 120;
 
     /** Time after which an entry that no longer subscribes gets no reports. */
     private static final Duration SUBSCRIPTION_LIFETIME = Duration.ofMillis(3500);
@@ -41,6 +43,12 @@
     /** Pause between two statements of held pieces while weights are on their way. */
     private static final long STATE_PIECES_MILLIS = 120;
 
+    /** Statements to the own region for one to all machines. */
+    private static final int STATEMENTS_ELSEWHERE = 2;
+
+    /** Reads of the report after which the load is stated although it has not changed. */
+    private static final int REPORTS_UNCHANGED = 4;
+
     /** Pause between two reads of the list of upstreams while weights are on their way. */
     private static final long LIST_MILLIS = 2500;
 
@@ -61,7 +69,11 @@
     private final WeightsKeeper keeper;
     private final String service;
     private final Map<Address, Long> subscribers = new HashMap<>();
+    private final PacedUploads uploads;
     private boolean reporting;
+    private int statements;
+    private int reports;
+    private int statedLoad = -1;
     private long listedNanos;
     private boolean listRead;
 
@@ -75,6 +87,7 @@
         this.engine = engine;
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
+        this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.keeper = WeightsKeeper.of(settings, parts, engine, sources, service);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handOut);
     }
@@ -109,8 +122,9 @@
 
     private void readOperator() {
         parts.store().readAll(Directory.OPERATOR, reply -> {
-            boolean read = reply.status() == DirectoryReply.Status.READ;
-            if (read) {
+            boolean read = reply.status() == DirectoryReply.Status.READ
+                    && !reply.changes().isEmpty();
+            if (reply.status() == DirectoryReply.Status.READ) {
                 reply.changes().forEach(this::apply);
             } else {
                 log.write(Event.STORE_LOST, "directory", Directory.OPERATOR, "reason", reply.reason());
@@ -161,6 +175,12 @@
         keeper.reported(report);
         long now = time.nanoTime();
         subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
+        int stated = Objects.hash(report.running(), report.queued(), report.busy(), report.loadedVersion());
+        if (stated == statedLoad && ++reports < REPORTS_UNCHANGED) {
+            return;
+        }
+        statedLoad = stated;
+        reports = 0;
         EngineLoad load = EngineLoad.newBuilder()
                 .setStartMillis(report.startMillis())
                 .setPort(settings.engine().orElseThrow().port())
@@ -173,11 +193,17 @@
         subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
     }
 
+    /** States the held pieces to the own region, and less often to the machines elsewhere. */
     private void statePieces() {
-        Optional<HeldPieces> held = keeper.statement();
-        if (held.isPresent()) {
-            Datagram datagram = Datagram.newBuilder().setHeld(held.get()).build();
-            keeper.others().forEach(ip -> datagrams.send(new Address(ip, settings.peerPort()), datagram));
+        Optional<HeldPieces> held = keeper.statement(uploads.free());
+        if (held.isEmpty()) {
+            return;
+        }
+        statements++;
+        Datagram datagram = Datagram.newBuilder().setHeld(held.get()).build();
+        boolean everywhere = statements % STATEMENTS_ELSEWHERE == 0;
+        for (String ip : everywhere ? keeper.others() : keeper.neighbours()) {
+            datagrams.send(new Address(ip, settings.peerPort()), datagram);
         }
     }
 
@@ -195,9 +221,10 @@
 
     private void handOut(HttpRequest head, byte[] body, AnswerWriter writer) {
         Optional<byte[]> data = PeerWeights.parse(head.uri()).flatMap(keeper::handOut);
-        writer.whole(
-                data.isPresent() ? 200 : 404,
-                new DefaultHttpHeaders(),
-                data.map(Unpooled::wrappedBuffer).orElse(Unpooled.EMPTY_BUFFER));
+        if (data.isEmpty()) {
+            writer.whole(404, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        } else if (!uploads.add(writer, data.get())) {
+            writer.whole(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.masticcroft.gateway.fleet.FleetChange;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.generated.HeldPieces;
@@ -51,13 +53,16 @@
         return byIp.isEmpty();
     }
 
-    /** Returns the IP addresses of the other machines. */
+    /** Returns the IP addresses of the other machines that are listed or have stated what they hold. */
     List<String> others() {
-        return byIp.keySet().stream().filter(ip -> !ip.equals(ownIp)).toList();
+        Set<String> others = new TreeSet<>(byIp.keySet());
+        others.addAll(statements.keySet());
+        others.remove(ownIp);
+        return List.copyOf(others);
     }
 
-    /** Returns the IP addresses of the machines of a region, the own one included. */
-    List<String> membersOf(Map<String, String> regions, String region) {
+    /** Returns the IP addresses of the machines of a region that lack a version, the own one included. */
+    List<String> lacking(long version, Map<String, String> regions, String region) {
         List<String> members = new ArrayList<>();
         members.add(ownIp);
         byIp.forEach((ip, listing) -> {
@@ -90,12 +95,24 @@
                 long back = setBackNanos.containsKey(ip)
                         ? SET_BACK.minus(time.since(setBackNanos.get(ip))).toMillis()
                         : 0;
-                peers.add(new FetchView.Peer(ip, near, statement.bitmap(), 1, sinceStartMillis + Math.max(0, back)));
+                peers.add(new FetchView.Peer(
+                        ip,
+                        near,
+                        statement.bitmap(),
+                        statement.held().getFreeUploads(),
+                        sinceStartMillis + Math.max(0, back)));
             }
         });
         return peers;
     }
 
+    /** Returns whether a machine is in a region. */
+    boolean isIn(String ip, Map<String, String> regions, String region) {
+        UpstreamListing listing = byIp.get(ip);
+        return listing != null
+                && regions.getOrDefault(listing.zone(), listing.zone()).equals(region);
+    }
+
     /** Returns whether another machine wants pieces of a version that it does not hold. */
     boolean wanted(String model, long version, int pieces) {
         return statements.values().stream()
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
@@ -20,7 +20,10 @@
 /** Collects the pieces of one version of weights from the origin and from other sidecars. */
 final class WeightsFetch {
     /** Transfers at a time; each one is short, and several keep the own link busy over the round trips. */
-    private static final int MAX_TRANSFERS = 4;
+    private static final int MAX_TRANSFERS = 5;
+
+    /** Transfers from the origin at a time; it accepts a few dozen connections from the whole fleet. */
+    private static final int MAX_ORIGIN_TRANSFERS = 3;
 
     /** Time for which the origin is avoided after it failed; a crashed one is back after some seconds. */
     private static final Duration ORIGIN_SET_BACK = Duration.ofMillis(700);
@@ -40,6 +43,7 @@
     private long progressNanos;
     private long originSetBackNanos;
     private boolean originSetBack;
+    private int originTransfers;
     private boolean abandoned;
 
     WeightsFetch(
@@ -87,6 +91,16 @@
 
     private void start(Fetch fetch) {
         inProgress.add(fetch.chunk());
+        log.write(
+                Event.FETCH_DECISION,
+                "version",
+                stock.manifest().version(),
+                "piece",
+                fetch.chunk(),
+                "source",
+                fetch.source() instanceof Fetch.Source.PeerSource from ? from.instance() : "origin",
+                "reason",
+                fetch.reason());
         Manifest manifest = stock.manifest();
         if (fetch.source() instanceof Fetch.Source.PeerSource peer) {
             busyPeers.add(peer.instance());
@@ -98,6 +112,7 @@
                     fetch.chunk(),
                     data -> received(fetch, peer.instance(), data));
         } else {
+            originTransfers++;
             sources.pieceFromOrigin(
                     place.origin(),
                     manifest.model(),
@@ -110,6 +125,7 @@
     private void received(Fetch fetch, String peer, Optional<byte[]> data) {
         inProgress.remove(fetch.chunk());
         busyPeers.remove(peer);
+        originTransfers -= peer.isEmpty() ? 1 : 0;
         if (abandoned || stock.held().get(fetch.chunk())) {
             return;
         }
@@ -159,7 +175,7 @@
                 stock.manifest().pieces(),
                 (BitSet) stock.held().clone(),
                 inProgress,
-                peers.membersOf(place.regions(), place.region()),
+                peers.lacking(stock.manifest().version(), place.regions(), place.region()),
                 holders,
                 sinceStart,
                 time.since(progressNanos).toMillis(),
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -36,8 +36,12 @@
     /** Time for which an order that has not shown in a report is not repeated. */
     private static final Duration ORDER_PAUSE = Duration.ofMillis(600);
 
+    /** Pieces that a region fetches from outside at a time; a piece takes 27 ms of the origin's link. */
+    private static final int OUTSIDE_WINDOW = 32;
+
     /** Time without progress after which the next sidecar of a region fetches a piece from outside. */
-    private static final RegionalSwarmPlanner.Patience PATIENCE = new RegionalSwarmPlanner.Patience(800, 400, 2000);
+    private static final RegionalSwarmPlanner.Patience PATIENCE =
+            new RegionalSwarmPlanner.Patience(OUTSIDE_WINDOW, 600, 300, 1500);
 
     private final NodeSettings settings;
     private final TimeSource time;
@@ -104,6 +108,7 @@
     public void stated(Address sender, HeldPieces held) {
         named(held.getModel(), held.getVersion());
         peers.stated(sender, held);
+        fetch.ifPresent(WeightsFetch::pump);
     }
 
     /** Applies a report of the engine. */
@@ -164,8 +169,20 @@
         order();
     }
 
-    /** Returns what this sidecar states to the others; empty if nothing is on its way. */
-    public Optional<HeldPieces> statement() {
+    /** Returns the IP addresses of the other machines of the own region. */
+    public List<String> neighbours() {
+        String region = settings.regionOf(settings.zone());
+        return peers.others().stream()
+                .filter(ip -> peers.isIn(ip, settings.regions(), region))
+                .toList();
+    }
+
+    /**
+     * Returns what this sidecar states to the others; empty if nothing is on its way.
+     *
+     * @param freeUploads transfers that it can start at once
+     */
+    public Optional<HeldPieces> statement(int freeUploads) {
         if (stock.isEmpty()) {
             return Optional.empty();
         }
@@ -178,6 +195,7 @@
                         .setModel(model)
                         .setVersion(target)
                         .setBitmap(ByteString.copyFrom(held.held().toByteArray()))
+                        .setFreeUploads(freeUploads)
                         .build())
                 : Optional.empty();
     }
@@ -308,6 +326,12 @@
     private void fillNext(Stock own, int piece) {
         if (piece >= own.manifest().pieces() || stock.isEmpty() || stock.get() != own) {
             filling = false;
+            log.write(
+                    Event.STAGED_PIECES_READ,
+                    "version",
+                    own.manifest().version(),
+                    "held",
+                    own.held().cardinality());
             return;
         }
         engine.staged(own.manifest().model(), piece, data -> {
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -49,6 +49,7 @@
     FETCH_DECISION(1400, "A source was chosen for a chunk."),
     CHUNK_REJECTED(1401, "A chunk failed verification and was dropped."),
     ROLLOUT_FINISHED(1402, "All chunks of a weights digest are verified and staged."),
+    STAGED_PIECES_READ(1403, "The staged pieces of the loaded weights were read, to hand them to other sidecars."),
     FETCH_STARTED(1420, "The sidecar began to fetch weights; chunks already staged are given."),
     FETCH_ABANDONED(1421, "A fetch ended before it was complete; the reason is given."),
     SOURCE_SET_BACK(1422, "A source of chunks is avoided for a time; the reason is given."),
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -21,7 +21,7 @@
     static final int OUTSIDE_WINDOW = 8;
 
     /** Patience for weights of many gigabytes, whose chunks take seconds. */
-    static final Patience DEFAULT_PATIENCE = new Patience(10_000, 2_000, 20_000);
+    static final Patience DEFAULT_PATIENCE = new Patience(OUTSIDE_WINDOW, 10_000, 2_000, 20_000);
 
     private final Patience patience;
 
@@ -80,7 +80,7 @@
         BitSet inRegion = (BitSet) view.held().clone();
         view.peers().stream().filter(FetchView.Peer::sameRegion).forEach(peer -> inRegion.or(peer.chunks()));
         int chunk = inRegion.nextClearBit(0);
-        for (int place = 0; place < OUTSIDE_WINDOW && chunk < view.chunkCount(); place++) {
+        for (int place = 0; place < patience.outsideWindow() && chunk < view.chunkCount(); place++) {
             if (!view.inProgress().contains(chunk) && isTurn(chunk, view)) {
                 Optional<Fetch> fetch = outsideSource(chunk, view, random);
                 if (fetch.isPresent()) {
@@ -140,12 +140,14 @@
     }
 
     /**
-     * How long members wait for each other.
+     * How many chunks a region fetches from outside at a time, and how long its members wait for each other.
      *
+     * @param outsideWindow number of missing chunks that a region fetches from outside at a time
      * @param firstTakeoverMillis time without progress after which the second in order takes over a chunk
      * @param takeoverStepMillis further time without progress for each further place in the order
      * @param storeFallbackMillis time without progress after which a region that waits for another one draws from the
      *     store
      */
-    public record Patience(long firstTakeoverMillis, long takeoverStepMillis, long storeFallbackMillis) {}
+    public record Patience(
+            int outsideWindow, long firstTakeoverMillis, long takeoverStepMillis, long storeFallbackMillis) {}
 }
