--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -28,11 +28,14 @@
     private static final double LEAST_SERVICE_SHARE = 0.15;
 
     /** Weight of the newest interval in the rate at which requests leave the queue. */
-    private static final double RATE_WEIGHT = 0.2;
+    private static final double RATE_WEIGHT = 0.35;
 
     /** Rate that is assumed before one was measured, in requests per second. */
     private static final double FIRST_RATE = 20;
 
+    /** When to come back while no upstream serves; engines are back after seconds. */
+    private static final Duration OUTAGE_RETRY = Duration.ofMillis(1200);
+
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
     private static final long RATE_INTERVAL_NANOS = 500_000_000L;
@@ -79,10 +82,13 @@
                 return;
             }
         }
+        if (!UpstreamChooser.anyServing(table.ofService(service), profile, oldestVersion, now)) {
+            refuse(request, "no-upstream", OUTAGE_RETRY);
+            return;
+        }
         Duration wait = expectedWait(key, now);
         double remainingMillis = (request.deadlineNanos() - now) / 1e6;
-        if (wait.toMillis() > WAIT_SHARE * remainingMillis
-                || table.ofService(service).isEmpty()) {
+        if (wait.toMillis() > WAIT_SHARE * remainingMillis) {
             refuse(request, "expected-wait", wait);
             return;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -67,6 +67,14 @@
                 : Optional.of(new Waiting.Choice(best, candidates, bestMillis, best.load(nowNanos)));
     }
 
+    /** Returns whether any upstream may serve requests, now or after those that it has. */
+    public static boolean anyServing(
+            List<Upstream> upstreams, Optional<EngineProfile> profile, OptionalLong oldestVersion, long nowNanos) {
+        return upstreams.stream()
+                .anyMatch(upstream -> upstream.accepts(nowNanos)
+                        && (profile.isEmpty() || upstream.loading(nowNanos) || serves(upstream, oldestVersion)));
+    }
+
     private static boolean eligible(
             Waiting request,
             Upstream upstream,
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PacedUploads.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PacedUploads.java
@@ -14,7 +14,7 @@
  */
 public final class PacedUploads {
     /** Part of the link that pieces may use. */
-    private static final double LINK_SHARE = 0.8;
+    private static final double LINK_SHARE = 0.9;
 
     /** Pieces that may wait; a further one would wait longer than another sidecar needs. */
     private static final int MAX_WAITING = 3;
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -28,7 +28,7 @@
     private static final long FIRST_VERSION = 1;
 
     /** Share of pieces from which a version is completed although a newer one was named. */
-    private static final double NEARLY_COMPLETE = 0.7;
+    private static final double NEARLY_COMPLETE = 0.5;
 
     /** Pause before a manifest is asked for again. */
     private static final Duration MANIFEST_PAUSE = Duration.ofMillis(400);
@@ -96,6 +96,7 @@
         if (namedModel.equals(model) && version > newest) {
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newest);
             newest = version;
+            tick();
         }
     }
 
@@ -276,6 +277,7 @@
             log.write(Event.MANIFEST_UNAVAILABLE, "model", model, "version", version);
         } else if (version == target && stock.isEmpty()) {
             stock = Optional.of(Stock.of(found.get()));
+            tick();
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -0,0 +1,198 @@
+package org.masticcroft.gateway.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.EngineProfile;
+import org.masticcroft.gateway.fleet.UpstreamListing;
+import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.load.LoadReport;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.kernel.time.ManualTimeSource;
+
+class ServiceQueueTest {
+    private static final Duration TARGET = Duration.ofMillis(400);
+    private static final Duration PATIENCE = Duration.ofSeconds(6);
+    private static final int SLOTS = 2;
+    private static final Optional<EngineProfile> PROFILE =
+            Optional.of(new EngineProfile("m", SLOTS, 1000, 5, 9, 0.04, 19, 2048, 4, 100, 16));
+
+    private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
+    private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
+    private final UpstreamTable table = UpstreamTable.of(log);
+    private final ServiceQueue queue = ServiceQueue.of("s", time, table, UpstreamChooser.of("z1"), log);
+
+    @AfterEach
+    void closeLog() {
+        log.close();
+    }
+
+    private void list(String id, String ip, String zone, long version, boolean leaving) {
+        table.listed(
+                new UpstreamListing(
+                        id,
+                        "s",
+                        new Address(ip, 80),
+                        zone,
+                        SLOTS,
+                        leaving,
+                        1,
+                        version > 0 ? OptionalLong.of(version) : OptionalLong.empty()),
+                time.nanoTime());
+    }
+
+    private FakeRequest request(String id, int rank) {
+        return new FakeRequest(id, rank, time.nanoTime(), TARGET, PATIENCE);
+    }
+
+    private FakeRequest add(String id, int rank, OptionalLong oldest) {
+        FakeRequest request = request(id, rank);
+        queue.add(request, PROFILE, oldest);
+        return request;
+    }
+
+    private FakeRequest add(String id, int rank) {
+        return add(id, rank, OptionalLong.empty());
+    }
+
+    private void free(FakeRequest request) {
+        Upstream upstream = request.choice.orElseThrow().upstream();
+        upstream.firstByte(request.promptTokens());
+        upstream.ended();
+        queue.serve(PROFILE, OptionalLong.empty());
+    }
+
+    @Nested
+    class Order {
+        // Guards against urgent requests that wait behind less urgent ones.
+        @Test
+        void servesTheFirstRankBeforeOthersThatCameEarlier() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest a = add("a", 2);
+            add("b", 2);
+            FakeRequest low = add("low", 2);
+            FakeRequest mid = add("mid", 1);
+            free(a);
+            assertThat(mid.choice).isPresent();
+            assertThat(low.choice).isEmpty();
+        }
+
+        // Guards against late answers that make answers on time late, too.
+        @Test
+        void servesARequestOnTimeBeforeALateOneOfTheRankAbove() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest a = add("a", 2);
+            add("b", 2);
+            FakeRequest late = add("late", 1);
+            time.advance(TARGET.plusMillis(1));
+            FakeRequest fresh = add("fresh", 2);
+            free(a);
+            assertThat(fresh.choice).isPresent();
+            assertThat(late.choice).isEmpty();
+        }
+
+        @Test
+        void letsTheFirstRankQueueInAFullEngine() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            add("a", 2);
+            add("b", 2);
+            assertThat(add("urgent", 0).choice).isPresent();
+            assertThat(add("other", 1).choice).isEmpty();
+        }
+    }
+
+    @Nested
+    class Choice {
+        @Test
+        void prefersTheOwnDataCentre() {
+            list("far", "10.0.0.1", "z2", 1, false);
+            list("near", "10.0.0.2", "z1", 1, false);
+            assertThat(add("a", 0).choice.orElseThrow().upstream().id()).isEqualTo("near");
+        }
+
+        // Guards against new work for an upstream that leaves.
+        @Test
+        void neverTakesAnUpstreamThatLeaves() {
+            list("e1", "10.0.0.1", "z1", 1, true);
+            assertThat(add("a", 0).choice).isEmpty();
+        }
+
+        // Guards against requests that begin on weights which must not serve any more.
+        @Test
+        void neverTakesOlderWeightsThanAllowed() {
+            list("old", "10.0.0.1", "z1", 1, false);
+            list("none", "10.0.0.2", "z1", 0, false);
+            list("new", "10.0.0.3", "z2", 2, false);
+            assertThat(add("a", 0, OptionalLong.of(2))
+                            .choice
+                            .orElseThrow()
+                            .upstream()
+                            .id())
+                    .isEqualTo("new");
+        }
+
+        // Guards against an engine that several entries fill at the same time.
+        @Test
+        void countsTheRequestsOfOtherEntries() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            list("e2", "10.0.0.2", "z2", 1, false);
+            table.reported(
+                    new Address("10.0.0.1", 80),
+                    new LoadReport(1, SLOTS, 3, false, OptionalLong.of(1)),
+                    time.nanoTime());
+            assertThat(add("a", 0).choice.orElseThrow().upstream().id()).isEqualTo("e2");
+        }
+
+        // Guards against a report of an engine's earlier life that hides its restart.
+        @Test
+        void ignoresReportsOfAnEarlierStart() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            table.reported(
+                    new Address("10.0.0.1", 80),
+                    new LoadReport(99, SLOTS, 9, false, OptionalLong.of(1)),
+                    time.nanoTime());
+            assertThat(add("a", 0).choice).isPresent();
+        }
+    }
+
+    @Nested
+    class Refusals {
+        // Guards against requests that are held although nothing can serve them.
+        @Test
+        void areGivenAtOnceWhileNoUpstreamServes() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest request = add("a", 0, OptionalLong.of(2));
+            assertThat(request.refusal.orElseThrow().reason()).isEqualTo("no-upstream");
+            assertThat(request.refusal.orElseThrow().retryAfter()).isPositive();
+        }
+
+        @Test
+        void areGivenAtArrivalWhenTheWaitWouldBeTooLong() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest last = null;
+            for (int i = 0; i < 200; i++) {
+                last = add("r" + i, 2);
+            }
+            assertThat(last.refusal.orElseThrow().reason()).isEqualTo("expected-wait");
+        }
+
+        @Test
+        void areGivenBeforeTheTimeIsUp() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            add("a", 2);
+            add("b", 2);
+            FakeRequest waiting = add("c", 2);
+            time.advance(Duration.ofMillis(5600));
+            queue.serve(PROFILE, OptionalLong.empty());
+            assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-time-left");
+        }
+    }
+}
--- a/standins/src/main/java/org/masticcroft/standins/http/Call.java
+++ b/standins/src/main/java/org/masticcroft/standins/http/Call.java
@@ -58,6 +58,11 @@
         return text == null ? absent : number(name, text);
     }
 
+    /** Returns a text from the query, or {@code absent}. */
+    public String queryText(String name, String absent) {
+        return query.getOrDefault(name, absent);
+    }
+
     /** Returns a request header. */
     public Optional<String> header(String name) {
         return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name));
