Require the newest weights from the start of an entry

Ruled out: the engines (they reported version 1 truthfully). Change: a version found in the first read counts as named long ago. Test excludeOlderVersionsAtOnceAfterAStart.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedWeights.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedWeights.java
@@ -9,6 +9,8 @@
 
 /** The versions of weights that the operator has named, with the time at which this process learned of each. */
 public final class NamedWeights {
+    private static final Duration LONG_AGO = Duration.ofHours(1);
+
     private final TimeSource time;
     private final Map<String, TreeMap<Long, Long>> learnedNanos = new HashMap<>();
 
@@ -29,6 +31,17 @@
         return newer;
     }
 
+    /**
+     * Records a version that was named at an unknown time before this process started. It counts as named long ago,
+     * because the time within which it has to serve may be up.
+     */
+    public boolean namedBeforeStart(String model, long version) {
+        TreeMap<Long, Long> versions = learnedNanos.computeIfAbsent(model, key -> new TreeMap<>());
+        boolean newer = versions.isEmpty() || version > versions.lastKey();
+        versions.putIfAbsent(version, time.nanoTime() - LONG_AGO.toNanos());
+        return newer;
+    }
+
     /** Returns the newest version of a model, if one was named. */
     public OptionalLong newest(String model) {
         TreeMap<Long, Long> versions = learnedNanos.get(model);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -33,6 +33,7 @@
     private final List<String> heldRemovals = new ArrayList<>();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsRead;
+    private boolean operatorRead;
     private boolean holding;
     private long holdUntilNanos;
 
@@ -72,7 +73,10 @@
     @Override
     public void whole(Directory directory, List<FleetChange> changes) {
         changed(directory, changes);
-        if (directory == Directory.UPSTREAMS) {
+        if (directory == Directory.OPERATOR) {
+            // The first configuration may not be written yet when a fleet starts for the first time.
+            operatorRead = operatorRead || config.isPresent();
+        } else {
             upstreamsRead = true;
             List<String> ids = new ArrayList<>();
             changes.forEach(change -> {
@@ -127,7 +131,10 @@
         if (change instanceof FleetChange.ConfigPublished published) {
             applyConfig(published.config());
         } else if (change instanceof FleetChange.WeightsNamed named) {
-            if (weights.named(named.model(), named.version())) {
+            boolean newer = operatorRead
+                    ? weights.named(named.model(), named.version())
+                    : weights.namedBeforeStart(named.model(), named.version());
+            if (newer) {
                 log.write(Event.WEIGHTS_NAMED, "model", named.model(), "version", named.version());
                 weightsNamed.accept(named.model());
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -35,7 +35,7 @@
 /** A sidecar: keeps the weights of the engine beside it current and states its load to the entries. */
 public final class SidecarNode implements Node {
     /** Pause between two reads of the engine's report, which stay on the machine. */
-    private static final long REPORT_MILLIS = 120;
+    private static final long REPORT_MILLIS = 200;
 
     /** Time after which an entry that no longer subscribes gets no reports. */
     private static final Duration SUBSCRIPTION_LIFETIME = Duration.ofMillis(3500);
@@ -47,7 +47,7 @@
     private static final int STATEMENTS_ELSEWHERE = 2;
 
     /** Reads of the report after which the load is stated although it has not changed. */
-    private static final int REPORTS_UNCHANGED = 4;
+    private static final int REPORTS_UNCHANGED = 3;
 
     /** Pause between two reads of the list of upstreams while weights are on their way. */
     private static final long LIST_MILLIS = 2500;
@@ -71,6 +71,7 @@
     private final Map<Address, Long> subscribers = new HashMap<>();
     private final PacedUploads uploads;
     private boolean reporting;
+    private boolean stating;
     private int statements;
     private int reports;
     private int statedLoad = -1;
@@ -112,7 +113,7 @@
         peerServer.listen(settings.peerAddress());
         loop.execute(this::readOperator);
         loop.scheduleAtFixedRate(this::readReport, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::statePieces, STATE_PIECES_MILLIS, STATE_PIECES_MILLIS, TimeUnit.MILLISECONDS);
+
     }
 
     @Override
@@ -169,6 +170,9 @@
             readList();
         }
         keeper.tick();
+        if (!stating) {
+            statePieces();
+        }
     }
 
     private void reported(EngineReport report) {
@@ -196,9 +200,11 @@
     /** States the held pieces to the own region, and less often to the machines elsewhere. */
     private void statePieces() {
         Optional<HeldPieces> held = keeper.statement(uploads.free());
-        if (held.isEmpty()) {
+        stating = held.isPresent();
+        if (!stating) {
             return;
         }
+        loop.schedule(this::statePieces, STATE_PIECES_MILLIS, TimeUnit.MILLISECONDS);
         statements++;
         Datagram datagram = Datagram.newBuilder().setHeld(held.get()).build();
         boolean everywhere = statements % STATEMENTS_ELSEWHERE == 0;
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedWeightsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedWeightsTest.java
@@ -28,6 +28,13 @@
         assertThat(weights.oldestServing("m", BOUND)).hasValue(2);
     }
 
+    // Guards against old weights that serve again because the entry was restarted.
+    @Test
+    void excludeOlderVersionsAtOnceAfterAStart() {
+        weights.namedBeforeStart("m", 2);
+        assertThat(weights.oldestServing("m", BOUND)).hasValue(2);
+    }
+
     // Guards against a later version that restarts the time of an earlier one.
     @Test
     void judgeEachVersionFromItsOwnTime() {
