--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -113,7 +113,6 @@
         peerServer.listen(settings.peerAddress());
         loop.execute(this::readOperator);
         loop.scheduleAtFixedRate(this::readReport, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
-
     }
 
     @Override
