--- a/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import org.masticcroft.kernel.event.Event;
-import org.masticcroft.kernel.event.EventLog;
+import org.masticcroft.kernel.event.EventLine;
 import org.masticcroft.kernel.time.TimeSource;
 
 /**
@@ -57,7 +57,7 @@
      * @param keysAndValues alternating field names and values
      */
     public void write(Event event, Object... keysAndValues) {
-        String line = time.now() + " " + EventLog.format(event, keysAndValues);
+        String line = time.now() + " " + EventLine.format(event, keysAndValues);
         if (!lines.offer(line)) {
             dropped.incrementAndGet();
         }
@@ -116,7 +116,7 @@
         if (missing > 0) {
             batch.append(time.now())
                     .append(' ')
-                    .append(EventLog.format(Event.LOG_LINES_DROPPED, "count", missing))
+                    .append(EventLine.format(Event.LOG_LINES_DROPPED, "count", missing))
                     .append('\n');
         }
         out.print(batch);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -74,8 +74,7 @@
     public void whole(Directory directory, List<FleetChange> changes) {
         changed(directory, changes);
         if (directory == Directory.OPERATOR) {
-            // The first configuration may not be written yet when a fleet starts for the first time.
-            operatorRead = operatorRead || config.isPresent();
+            operatorRead = true;
         } else {
             upstreamsRead = true;
             List<String> ids = new ArrayList<>();
--- a/kernel/src/test/java/org/masticcroft/kernel/event/EventCatalogueTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/event/EventCatalogueTest.java
@@ -36,7 +36,7 @@
         /** Guards against values with spaces that make a line ambiguous for a parser. */
         @Test
         void quotesValuesWithSpaces() {
-            assertThat(EventLog.format(Event.ROUTING_DECISION, "upstream", "e-1", "reason", "two words"))
+            assertThat(EventLine.format(Event.ROUTING_DECISION, "upstream", "e-1", "reason", "two words"))
                     .isEqualTo("E1200 ROUTING_DECISION upstream=e-1 reason=\"two words\"");
         }
     }
