Quarantine requests that crash upstreams; give no promise without the upstream's word

Cause: a request that crashes each engine could be sent on without end, by any entry; a 503 without the upstream's own statement went to the caller as a promise that an order had not run. Half of the machines finish a version when a newer one is named.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -44,6 +44,9 @@
     /** Returns whether a service has an upstream that takes requests and was not tried yet. */
     boolean hasOther(String service, Set<String> tried);
 
+    /** Is called when an upstream broke off while it had a request and had sent nothing of the answer. */
+    void brokeOff(Exchange exchange, String upstream);
+
     /** Is called when an upstream has room again. */
     void roomAt(String service);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -140,6 +140,9 @@
             return;
         }
         upstream.failed(context.time().nanoTime());
+        if (failure.verdict() == Verdict.MAY_HAVE_RUN && !firstByte) {
+            context.brokeOff(exchange, upstream.id());
+        }
         if (failure == CallFailure.NOT_CONNECTED) {
             context.caller().forget(upstream.listing().address());
         }
@@ -172,7 +175,10 @@
     private void failedAnswer() {
         upstream.failed(context.time().nanoTime());
         boolean unsigned = head.status() / 100 == 2;
-        if (exchange.answering() || unsigned || (head.status() >= 500 && exchange.canRepeat())) {
+        if (exchange.answering()
+                || unsigned
+                || promisesNotRun(head.status())
+                || (head.status() >= 500 && exchange.canRepeat())) {
             fail(Verdict.MAY_HAVE_RUN, "upstream-status-" + head.status());
             return;
         }
@@ -180,6 +186,11 @@
         exchange.passOn(head, headers, body);
     }
 
+    /** Returns whether callers take a status as a promise; without the upstream's own word it must not reach them. */
+    private static boolean promisesNotRun(int status) {
+        return status == 408 || status == 429 || status == 503;
+    }
+
     private void fail(Verdict verdict, String reason) {
         fail(verdict, reason, false);
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,6 +40,11 @@
         Objects.requireNonNull(uri, "uri");
     }
 
+    /** Returns a number that is the same for each send of the same request, whatever its attempt id is. */
+    public long fingerprint() {
+        return 31L * Objects.hash(method.name(), host, uri, key.orElse("")) + Arrays.hashCode(body);
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = uri.indexOf('?');
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -22,6 +22,7 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.UpstreamService;
+import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
@@ -38,6 +39,7 @@
 import org.masticcroft.gateway.generated.Datagram;
 import org.masticcroft.gateway.generated.EngineLoad;
 import org.masticcroft.gateway.generated.Subscription;
+import org.masticcroft.gateway.generated.Suspicion;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.AnswerWriter;
 import org.masticcroft.gateway.http.CallerRequest;
@@ -58,7 +60,7 @@
     /** How long the store may wait for a change; a third of the time within which a removed key must be refused. */
     private static final Duration OPERATOR_WAIT = Duration.ofMillis(1300);
 
-    private static final Duration UPSTREAMS_WAIT = Duration.ofMillis(3000);
+    private static final Duration UPSTREAMS_WAIT = Duration.ofMillis(2000);
 
     /** Part of the time for revocations after which unconfirmed keys are refused; the rest covers the way back. */
     private static final double CONFIRMATION_SHARE = 0.84;
@@ -99,6 +101,7 @@
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Set<Exchange> open = new LinkedHashSet<>();
+    private final CrashSuspects suspects = CrashSuspects.none();
     private final Random random;
     private boolean stopping;
     private boolean wasReady;
@@ -157,7 +160,8 @@
     private void awaitEmpty(Runnable finished) {
         callers.closeIdle();
         if (callers.openRequests() == 0) {
-            finished.run();
+            // The last bytes leave the machine before the process ends.
+            loop.schedule(finished, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(() -> awaitEmpty(finished), CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -231,6 +235,13 @@
                 .anyMatch(upstream -> upstream.accepts(now) && !tried.contains(upstream.id()));
     }
 
+    @Override
+    public void brokeOff(Exchange exchange, String upstream) {
+        long fingerprint = exchange.request().fingerprint();
+        suspects.brokeOff(fingerprint, upstream, time.nanoTime());
+        log.write(Event.SUSPECT_MARKED, "request", exchange.id(), "upstream", upstream, "fingerprint", fingerprint);
+    }
+
     @Override
     public void roomAt(String service) {
         ServiceQueue queue = queues.get(service);
@@ -280,6 +291,10 @@
             refuse(request, writer, 503, "no-configuration");
             return;
         }
+        if (!suspects.isEmpty() && suspects.quarantined(request.fingerprint(), time.nanoTime())) {
+            refuse(request, writer, 503, "quarantined");
+            return;
+        }
         boolean confirmed = contact.age().compareTo(share(CONFIRMATION_SHARE)) < 0;
         Optional<Route> route = config.get().route(request.host(), request.path());
         if (route.isEmpty()) {
@@ -376,6 +391,7 @@
                         subscription.addNamed(org.masticcroft.gateway.generated.NamedWeights.newBuilder()
                                 .setModel(model)
                                 .setVersion(version)));
+        subscription.addAllSuspects(suspects.toTell());
         Datagram datagram = Datagram.newBuilder().setSubscription(subscription).build();
         for (Upstream upstream : upstreams.listed()) {
             if (profile(upstream.listing().service()).isPresent()) {
@@ -394,6 +410,14 @@
                     load.getLoading(),
                     load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty());
             upstreams.reported(new Address(sender.ip(), load.getPort()), report, time.nanoTime());
+            for (Suspicion suspicion : load.getSuspicionsList()) {
+                if (!suspicion.getEntry().equals(settings.ip())) {
+                    suspicion
+                            .getFingerprintsList()
+                            .forEach(
+                                    fingerprint -> suspects.toldOf(fingerprint, suspicion.getEntry(), time.nanoTime()));
+                }
+            }
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.masticcroft.gateway.generated.EngineLoad;
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.generated.NamedWeights;
+import org.masticcroft.gateway.generated.Suspicion;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.AnswerWriter;
 import org.masticcroft.gateway.http.HttpServer;
@@ -70,6 +72,7 @@
     private final String service;
     private final Map<Address, Long> subscribers = new HashMap<>();
     private final PacedUploads uploads;
+    private final Map<Address, List<Long>> suspicions = new HashMap<>();
     private boolean reporting;
     private boolean stating;
     private int statements;
@@ -184,14 +187,19 @@
         }
         statedLoad = stated;
         reports = 0;
-        EngineLoad load = EngineLoad.newBuilder()
+        suspicions.keySet().retainAll(subscribers.keySet());
+        EngineLoad.Builder load = EngineLoad.newBuilder()
                 .setStartMillis(report.startMillis())
                 .setPort(settings.engine().orElseThrow().port())
                 .setRunning(report.running())
                 .setQueued(report.queued())
                 .setLoading(report.busy())
-                .setServedVersion(report.loadedVersion().orElse(0))
-                .build();
+                .setServedVersion(report.loadedVersion().orElse(0));
+        suspicions.forEach((entry, fingerprints) -> {
+            if (!fingerprints.isEmpty()) {
+                load.addSuspicions(Suspicion.newBuilder().setEntry(entry.ip()).addAllFingerprints(fingerprints));
+            }
+        });
         Datagram datagram = Datagram.newBuilder().setLoad(load).build();
         subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
     }
@@ -215,6 +223,7 @@
     private void received(Address sender, Datagram datagram) {
         if (datagram.hasSubscription()) {
             subscribers.put(sender, time.nanoTime());
+            suspicions.put(sender, datagram.getSubscription().getSuspectsList());
             for (NamedWeights named : datagram.getSubscription().getNamedList()) {
                 keeper.named(named.getModel(), named.getVersion());
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -27,7 +27,7 @@
     /** Version that engines hold before the operator names one. */
     private static final long FIRST_VERSION = 1;
 
-    /** Share of pieces from which a version is completed although a newer one was named. */
+    /** Share of pieces from which half of the machines complete a version although a newer one was named. */
     private static final double NEARLY_COMPLETE = 0.5;
 
     /** Pause before a manifest is asked for again. */
@@ -230,6 +230,7 @@
         }
         boolean nearlyComplete = stock.isPresent()
                 && !loaded(target)
+                && finishesVersions()
                 && stock.get().held().cardinality()
                         >= NEARLY_COMPLETE * stock.get().manifest().pieces();
         if (nearlyComplete) {
@@ -246,6 +247,14 @@
         ordered = false;
     }
 
+    /**
+     * Returns whether this machine finishes a version when a newer one is named meanwhile. Half of the machines do, so
+     * that some engines may serve when the time of the version before is up, and the newer one arrives sooner.
+     */
+    private boolean finishesVersions() {
+        return Math.floorMod(settings.ip().hashCode(), 2) == 0;
+    }
+
     private boolean loaded(long version) {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
