--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -34,8 +34,8 @@
     private static final double FIRST_RATE = 20;
 
     /**
-     * When to come back while no upstream serves; engines are back after seconds. A caller that has come back once waits
-     * here, because it cannot come again.
+     * When to come back while no upstream serves; engines are back after seconds. A caller that has come back once
+     * waits here, because it cannot come again.
      */
     private static final Duration OUTAGE_RETRY = Duration.ofMillis(2000);
 
