Revert waiting of returning callers and the split of the fleet between versions

Change: all machines finish a version of which they hold half, callers are refused with a time to come back; engines load when they are ready.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -33,11 +33,8 @@
     /** Rate that is assumed before one was measured, in requests per second. */
     private static final double FIRST_RATE = 20;
 
-    /**
-     * When to come back while no upstream serves; engines are back after seconds. A caller that has come back once
-     * waits here, because it cannot come again.
-     */
-    private static final Duration OUTAGE_RETRY = Duration.ofMillis(2000);
+    /** When to come back while no upstream serves; engines are back after seconds. */
+    private static final Duration OUTAGE_RETRY = Duration.ofMillis(1200);
 
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
@@ -85,14 +82,13 @@
                 return;
             }
         }
-        boolean serving = UpstreamChooser.anyServing(table.ofService(service), profile, oldestVersion, now);
-        if (!serving && !request.returning()) {
+        if (!UpstreamChooser.anyServing(table.ofService(service), profile, oldestVersion, now)) {
             refuse(request, "no-upstream", OUTAGE_RETRY);
             return;
         }
         Duration wait = expectedWait(key, now);
         double remainingMillis = (request.deadlineNanos() - now) / 1e6;
-        if (serving && wait.toMillis() > WAIT_SHARE * remainingMillis) {
+        if (wait.toMillis() > WAIT_SHARE * remainingMillis) {
             refuse(request, "expected-wait", wait);
             return;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Waiting.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Waiting.java
@@ -24,9 +24,6 @@
     /** Returns the monotonic time in nanoseconds at which the caller or the route gives up. */
     long deadlineNanos();
 
-    /** Returns whether the caller has probably been refused before, because it waits for less than the usual time. */
-    boolean returning();
-
     /** Returns the tokens of the prompt; 0 for a plain request. */
     int promptTokens();
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -48,9 +48,6 @@
     /** Shortest time without an answer after which an idempotent request is sent to another upstream. */
     private static final Duration PLAIN_SILENCE = Duration.ofMillis(350);
 
-    /** Part of a route's timeout; a caller that waits for less has used up the rest before it came back. */
-    private static final double RETURNING_SHARE = 0.8;
-
     private static final int MAX_URGENCY = 9;
 
     private final ExchangeContext context;
@@ -136,11 +133,6 @@
         return deadlineNanos;
     }
 
-    @Override
-    public boolean returning() {
-        return deadlineNanos - arrivalNanos < RETURNING_SHARE * route.timeout().toNanos();
-    }
-
     @Override
     public int promptTokens() {
         return request.generation().map(CallerRequest.Generation::promptTokens).orElse(0);
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -27,12 +27,9 @@
     /** Version that engines hold before the operator names one. */
     private static final long FIRST_VERSION = 1;
 
-    /** Share of pieces from which half of the machines complete a version although a newer one was named. */
+    /** Share of pieces from which a version is completed although a newer one was named. */
     private static final double NEARLY_COMPLETE = 0.5;
 
-    /** Time for which half of the engines go on serving after their weights have arrived. */
-    private static final Duration LOAD_STAGGER = Duration.ofMillis(1000);
-
     /** Pause before a manifest is asked for again. */
     private static final Duration MANIFEST_PAUSE = Duration.ofMillis(400);
 
@@ -66,8 +63,6 @@
     private long askedNanos;
     private boolean asked;
     private boolean filling;
-    private boolean staged;
-    private long stagedNanos;
     private boolean ordered;
     private long orderedNanos;
     private int manifestTurn;
@@ -235,7 +230,6 @@
         }
         boolean nearlyComplete = stock.isPresent()
                 && !loaded(target)
-                && finishesVersions()
                 && stock.get().held().cardinality()
                         >= NEARLY_COMPLETE * stock.get().manifest().pieces();
         if (nearlyComplete) {
@@ -249,18 +243,9 @@
         staging.ifPresent(EngineStaging::abandon);
         staging = Optional.empty();
         asked = false;
-        staged = false;
         ordered = false;
     }
 
-    /**
-     * Returns whether this machine finishes a version when a newer one is named meanwhile. Half of the machines do, so
-     * that some engines may serve when the time of the version before is up, and the newer one arrives sooner.
-     */
-    private boolean finishesVersions() {
-        return Math.floorMod(settings.ip().hashCode(), 2) == 0;
-    }
-
     private boolean loaded(long version) {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
@@ -368,27 +353,10 @@
         if (area.checking() || !area.complete()) {
             return;
         }
-        if (waitsForOthers()) {
-            return;
-        }
         long version = target;
         area.check(() -> giveOrder(version));
     }
 
-    /**
-     * Returns whether this engine goes on serving while others load. An engine accepts nothing new from the order until
-     * its requests have ended, and all machines have the weights at about the same time.
-     */
-    private boolean waitsForOthers() {
-        if (!staged) {
-            staged = true;
-            stagedNanos = time.nanoTime();
-        }
-        return !finishesVersions()
-                && report.get().running() > 0
-                && time.since(stagedNanos).compareTo(LOAD_STAGGER) < 0;
-    }
-
     private void giveOrder(long version) {
         if (version != target || report.get().busy()) {
             return;
