--- a/gateway/src/main/java/org/masticcroft/gateway/config/EngineProfile.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/EngineProfile.java
@@ -6,29 +6,16 @@
  * Cost model of the engines of a service, as their operator states it.
  *
  * @param model name of the model that the engines serve
- * @param slots requests that an engine processes at a time
- * @param memoryTokens tokens that the requests of an engine may hold in memory
+ *
+ *
  * @param stepsPerPass decoding steps in a pass that writes
  * @param stepMillis duration of a decoding step
  * @param stepMillisPerRequest addition to a step for each request that writes
  * @param readTokensPerMilli prompt tokens that are read in a millisecond
- * @param readChunkTokens most prompt tokens that a pass reads
- * @param pieces number of pieces of the weights
- * @param pieceBytes size of a piece
- * @param layers number of layers
+ *
  */
 public record EngineProfile(
-        String model,
-        int slots,
-        long memoryTokens,
-        int stepsPerPass,
-        double stepMillis,
-        double stepMillisPerRequest,
-        double readTokensPerMilli,
-        int readChunkTokens,
-        int pieces,
-        int pieceBytes,
-        int layers) {
+        String model, int stepsPerPass, double stepMillis, double stepMillisPerRequest, double readTokensPerMilli) {
     public EngineProfile {
         Objects.requireNonNull(model, "model");
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
@@ -8,13 +8,13 @@
  * A service that upstreams of the fleet offer.
  *
  * @param name name of the service
- * @param maxConnections connections that one upstream accepts from all callers together; 0 if not stated
+ *
  * @param profile cost model, if the upstreams are model engines
  * @param origin address of the origin of weights, if the service is one
  * @param originZone data centre of the origin; empty if the service is none
  */
 public record UpstreamService(
-        String name, int maxConnections, Optional<EngineProfile> profile, Optional<Address> origin, String originZone) {
+        String name, Optional<EngineProfile> profile, Optional<Address> origin, String originZone) {
     public UpstreamService {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(profile, "profile");
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
@@ -21,7 +21,7 @@
  * @param deadline how long the caller waits, if it states that
  * @param generation what the model is asked for, if the request is for one
  * @param resumeAfter number of the last event that the caller has, if it resumes a stream
- * @param closing whether the caller uses its connection for no further request
+ *
  */
 public record CallerRequest(
         String attemptId,
@@ -33,8 +33,7 @@
         Optional<String> key,
         Optional<Duration> deadline,
         Optional<Generation> generation,
-        OptionalLong resumeAfter,
-        boolean closing) {
+        OptionalLong resumeAfter) {
     public CallerRequest {
         Objects.requireNonNull(attemptId, "attemptId");
         Objects.requireNonNull(uri, "uri");
@@ -56,10 +55,8 @@
      *
      * @param model name of the model
      * @param promptTokens tokens of the prompt
-     * @param maxAnswerTokens most tokens of the answer
-     * @param likelyAnswerTokens estimate of the caller, if it gives one
      */
-    public record Generation(String model, int promptTokens, int maxAnswerTokens, OptionalLong likelyAnswerTokens) {
+    public record Generation(String model, int promptTokens) {
         public Generation {
             Objects.requireNonNull(model, "model");
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -58,16 +58,11 @@
      *
      * @param revocation time within which a removed key must not be served any more
      * @param versionChange time within which new weights must serve
-     * @param drainTime time within which an upstream that leaves gets no new work
+     *
      * @param grace time between the request to stop and the end of the process
      * @param retryShare retries for each request in a window
      * @param retryWindow length of that window
      */
     public record Bounds(
-            Duration revocation,
-            Duration versionChange,
-            Duration drainTime,
-            Duration grace,
-            double retryShare,
-            Duration retryWindow) {}
+            Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {}
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -92,7 +92,7 @@
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
-        this.keeper = WeightsKeeper.of(settings, parts, engine, sources, service);
+        this.keeper = WeightsKeeper.of(settings, parts, engine, sources);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handOut);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -77,9 +77,8 @@
         this.random = new SplitMix64(parts.random().nextLong());
     }
 
-    /** Creates a keeper for the engine of a service. */
-    public static WeightsKeeper of(
-            NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources, String service) {
+    /** Creates a keeper for the engine of the own machine. */
+    public static WeightsKeeper of(NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources) {
         return new WeightsKeeper(settings, parts, engine, sources);
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -22,8 +22,7 @@
     private static final Duration TARGET = Duration.ofMillis(400);
     private static final Duration PATIENCE = Duration.ofSeconds(6);
     private static final int SLOTS = 2;
-    private static final Optional<EngineProfile> PROFILE =
-            Optional.of(new EngineProfile("m", SLOTS, 1000, 5, 9, 0.04, 19, 2048, 4, 100, 16));
+    private static final Optional<EngineProfile> PROFILE = Optional.of(new EngineProfile("m", 5, 9, 0.04, 19));
 
     private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
     private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
