--- a/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
@@ -13,6 +13,7 @@
  * @param kind how often a request may run
  * @param timeout longest time until the final answer
  * @param target time within which the first byte of an answer is on time
+ * @param patience time without a byte of the answer after which callers leave
  * @param rank rank of the requests; 0 is served first
  * @param services services that may run the requests
  * @param maxUpstreams largest number of upstreams that may run one request
@@ -26,6 +27,7 @@
         RouteKind kind,
         Duration timeout,
         Duration target,
+        Duration patience,
         int rank,
         List<ServiceShare> services,
         int maxUpstreams,
@@ -39,6 +41,7 @@
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(timeout, "timeout");
         Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(patience, "patience");
         services = List.copyOf(services);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -12,43 +12,36 @@
 
 /**
  * Requests of one service that wait for an upstream with room. Requests that can still be on time are served by rank;
- * late ones follow those of the next rank, because a late answer is worth less than one on time.
+ * late ones follow those on time, because a late answer is worth less. A request that cannot be served in time is
+ * refused as soon as that shows, so that its caller learns when to come back.
  */
 public final class ServiceQueue {
-    /** Ranks by which a late request falls behind. */
-    private static final double LATE_RANKS = 1.5;
+    /** Ranks by which a late request falls behind; deployments use three. */
+    private static final int LATE_RANKS = 3;
 
-    /** Share of the remaining time that a request may be expected to wait; the rest is for the answer itself. */
-    private static final double WAIT_SHARE = 0.4;
-
-    /** Time before the deadline at which a request that waits is refused; an answer takes longer than that. */
-    private static final Duration LEAST_SERVICE_TIME = Duration.ofMillis(500);
-
-    /** Part of the deadline of short requests that is left for the answer. */
-    private static final double LEAST_SERVICE_SHARE = 0.15;
-
-    /** Weight of the newest interval in the rate at which requests leave the queue. */
-    private static final double RATE_WEIGHT = 0.35;
+    /** Position before all others, for requests that were sent before: their callers have part of an answer. */
+    private static final double BEGUN = -1;
 
-    /** Rate that is assumed before one was measured, in requests per second. */
-    private static final double FIRST_RATE = 20;
+    /** Share of the remaining time that a late request may be expected to wait; the rest is for the answer itself. */
+    private static final double WAIT_SHARE = 0.4;
 
     /** When to come back while no upstream serves; engines are back after seconds. */
-    private static final Duration OUTAGE_RETRY = Duration.ofMillis(1200);
+    private static final Duration OUTAGE_RETRY = Duration.ofMillis(2000);
 
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
-    private static final long RATE_INTERVAL_NANOS = 500_000_000L;
+
+    /** Time between two looks for requests that wait in vain. */
+    private static final long REVIEW_NANOS = 100_000_000L;
 
     private final String service;
     private final TimeSource time;
     private final UpstreamTable table;
     private final UpstreamChooser chooser;
     private final DecisionLog log;
+    private final WaitEstimate estimate;
     private final List<Waiting> waiting = new ArrayList<>();
-    private double rate = FIRST_RATE;
-    private long rateSinceNanos;
-    private int dispatchedSince;
+    private long reviewedNanos;
 
     private ServiceQueue(
             String service, TimeSource time, UpstreamTable table, UpstreamChooser chooser, DecisionLog log) {
@@ -57,7 +50,8 @@
         this.table = table;
         this.chooser = chooser;
         this.log = log;
-        this.rateSinceNanos = time.nanoTime();
+        this.reviewedNanos = time.nanoTime();
+        this.estimate = WaitEstimate.of(reviewedNanos);
     }
 
     /** Creates an empty queue. */
@@ -70,10 +64,18 @@
         return waiting.size();
     }
 
+    /** Records the time from the send of a request to the first byte of its answer. */
+    public void firstByteAfter(Duration sinceSend) {
+        estimate.firstByteAfter(sinceSend);
+    }
+
     /** Sends a request to an upstream at once, lets it wait, or refuses it if it would wait too long. */
     public void add(Waiting request, Optional<EngineProfile> profile, OptionalLong oldestVersion) {
         long now = time.nanoTime();
         double key = key(request, now);
+        if (!request.begun() && !late(request, now)) {
+            estimate.arrived(request.rank(), now);
+        }
         if (waiting.stream().noneMatch(other -> key(other, now) <= key)) {
             Optional<Waiting.Choice> choice =
                     chooser.choose(request, table.ofService(service), profile, oldestVersion, now);
@@ -86,9 +88,8 @@
             refuse(request, "no-upstream", OUTAGE_RETRY);
             return;
         }
-        Duration wait = expectedWait(key, now);
-        double remainingMillis = (request.deadlineNanos() - now) / 1e6;
-        if (wait.toMillis() > WAIT_SHARE * remainingMillis) {
+        Duration wait = expectedWait(request, key, now);
+        if (!request.begun() && !worthWaiting(request, wait, now)) {
             refuse(request, "expected-wait", wait);
             return;
         }
@@ -100,11 +101,13 @@
                 "decision",
                 "queued",
                 "rank",
-                request.rank(),
+                request.rank().order(),
                 "ahead",
                 waiting.size() - 1,
                 "expected_wait_ms",
-                wait.toMillis());
+                wait.toMillis(),
+                "waiting_ms",
+                (now - request.waitingSinceNanos()) / 1_000_000);
     }
 
     /** Removes a request whose caller has left. */
@@ -115,24 +118,37 @@
     /** Sends waiting requests to upstreams with room, in order, and refuses those that can no longer be served. */
     public void serve(Optional<EngineProfile> profile, OptionalLong oldestVersion) {
         long now = time.nanoTime();
-        refuseExpired(now);
-        measureRate(now);
+        estimate.roll(now, !waiting.isEmpty());
+        if (waiting.isEmpty()) {
+            return;
+        }
         List<Upstream> upstreams = table.ofService(service);
+        if (!UpstreamChooser.anyServing(upstreams, profile, oldestVersion, now)) {
+            refuseAll();
+            return;
+        }
         while (!waiting.isEmpty()) {
             Waiting first = first(now);
             Optional<Waiting.Choice> choice = chooser.choose(first, upstreams, profile, oldestVersion, now);
             if (choice.isEmpty()) {
-                return;
+                break;
             }
             waiting.remove(first);
             dispatch(first, choice.get());
         }
+        review(now);
     }
 
     /** Returns the position in the order of service; lower is served first. */
     static double key(Waiting request, long nowNanos) {
-        boolean late = nowNanos - request.arrivalNanos() > request.target().toNanos();
-        return request.rank() + (late ? LATE_RANKS : 0);
+        if (request.begun()) {
+            return BEGUN;
+        }
+        return request.rank().order() + (late(request, nowNanos) ? LATE_RANKS : 0);
+    }
+
+    private static boolean late(Waiting request, long nowNanos) {
+        return nowNanos - request.waitingSinceNanos() > request.target().toNanos();
     }
 
     private Waiting first(long now) {
@@ -149,38 +165,60 @@
     }
 
     private void dispatch(Waiting request, Waiting.Choice choice) {
-        dispatchedSince++;
+        estimate.sent();
         request.dispatch(choice);
     }
 
-    private Duration expectedWait(double key, long now) {
-        long ahead = waiting.stream().filter(other -> key(other, now) <= key).count();
-        return Duration.ofMillis((long) (1000 * ahead / Math.max(1, rate)));
+    private Duration expectedWait(Waiting request, double key, long now) {
+        long ahead = 1;
+        for (Waiting other : waiting) {
+            double otherKey = key(other, now);
+            if (other != request && (otherKey < key || (otherKey == key && earlier(other, request)))) {
+                ahead++;
+            }
+        }
+        return estimate.wait(ahead, key);
     }
 
-    private void measureRate(long now) {
-        long interval = now - rateSinceNanos;
-        if (interval < RATE_INTERVAL_NANOS) {
-            return;
-        }
-        if (!waiting.isEmpty()) {
-            rate += RATE_WEIGHT * (dispatchedSince * 1e9 / interval - rate);
+    private static boolean earlier(Waiting other, Waiting request) {
+        return other.waitingSinceNanos() <= request.waitingSinceNanos();
+    }
+
+    /** Returns whether a request that waits that long is answered on time, or late but before its caller leaves. */
+    private boolean worthWaiting(Waiting request, Duration wait, long now) {
+        long start = now + wait.toNanos();
+        long answer = start + estimate.firstByte().toNanos();
+        if (answer - request.waitingSinceNanos() <= request.target().toNanos()) {
+            return true;
         }
-        rateSinceNanos = now;
-        dispatchedSince = 0;
+        double lateKey = request.rank().order() + LATE_RANKS;
+        Duration lateWait = expectedWait(request, lateKey, now);
+        return lateWait.toNanos() <= WAIT_SHARE * (request.giveUpNanos() - now);
     }
 
-    private void refuseExpired(long now) {
+    /** Refuses the requests that would be answered only after their callers have left. */
+    private void review(long now) {
+        if (now - reviewedNanos < REVIEW_NANOS) {
+            return;
+        }
+        reviewedNanos = now;
         for (Waiting request : List.copyOf(waiting)) {
-            double total = request.deadlineNanos() - request.arrivalNanos();
-            double least = Math.min(LEAST_SERVICE_TIME.toNanos(), LEAST_SERVICE_SHARE * total);
-            if (request.deadlineNanos() - now < least) {
+            long left = request.giveUpNanos() - now - estimate.firstByte().toNanos();
+            boolean late = late(request, now) && !request.begun();
+            Duration wait = late ? expectedWait(request, key(request, now), now) : Duration.ZERO;
+            if (left < wait.toNanos()) {
                 waiting.remove(request);
-                refuse(request, "no-time-left", SHORTEST_RETRY);
+                refuse(request, "no-time-left", wait);
             }
         }
     }
 
+    private void refuseAll() {
+        List<Waiting> refused = List.copyOf(waiting);
+        waiting.clear();
+        refused.forEach(request -> refuse(request, "no-upstream", OUTAGE_RETRY));
+    }
+
     private static void refuse(Waiting request, String reason, Duration wait) {
         Duration after = wait.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : wait;
         request.refuse(new Waiting.Refusal(reason, after.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : after));
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -67,12 +67,12 @@
                 : Optional.of(new Waiting.Choice(best, candidates, bestMillis, best.load(nowNanos)));
     }
 
-    /** Returns whether any upstream may serve requests, now or after those that it has. */
+    /** Returns whether any upstream may serve requests, now or after those that it has; one that loads may not. */
     public static boolean anyServing(
             List<Upstream> upstreams, Optional<EngineProfile> profile, OptionalLong oldestVersion, long nowNanos) {
         return upstreams.stream()
                 .anyMatch(upstream -> upstream.accepts(nowNanos)
-                        && (profile.isEmpty() || upstream.loading(nowNanos) || serves(upstream, oldestVersion)));
+                        && (profile.isEmpty() || (!upstream.loading(nowNanos) && serves(upstream, oldestVersion))));
     }
 
     private static boolean eligible(
@@ -88,7 +88,7 @@
         if (profile.isEmpty()) {
             return upstream.load(nowNanos) < slots * LOAD_PER_SLOT_PLAIN;
         }
-        int limit = request.rank() == 0 ? slots + QUEUED_FIRST_RANK : slots;
+        int limit = request.rank().route() == 0 ? slots + QUEUED_FIRST_RANK : slots;
         return serves(upstream, oldestVersion) && !upstream.loading(nowNanos) && upstream.load(nowNanos) < limit;
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Waiting.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Waiting.java
@@ -9,20 +9,26 @@
     /** Returns the id of the request, for logs. */
     String id();
 
-    /** Returns the rank; 0 is served first. */
-    int rank();
+    /** Returns the rank. */
+    Rank rank();
 
     /** Returns the name of the customer; empty if the request has none. */
     String customer();
 
-    /** Returns the monotonic time of arrival in nanoseconds. */
-    long arrivalNanos();
+    /**
+     * Returns the monotonic time in nanoseconds since which the caller has been waiting. It lies before the arrival if
+     * the caller was refused before and came back.
+     */
+    long waitingSinceNanos();
 
-    /** Returns the time from arrival within which the first byte is on time. */
+    /** Returns the time since the caller waits within which the first byte is on time. */
     Duration target();
 
-    /** Returns the monotonic time in nanoseconds at which the caller or the route gives up. */
-    long deadlineNanos();
+    /** Returns the monotonic time in nanoseconds at which the caller leaves if it got no byte of an answer. */
+    long giveUpNanos();
+
+    /** Returns whether the request was sent to an upstream before, so that refusing it wastes what was done. */
+    boolean begun();
 
     /** Returns the tokens of the prompt; 0 for a plain request. */
     int promptTokens();
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import org.masticcroft.gateway.config.Customer;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.RouteKind;
+import org.masticcroft.gateway.dispatch.Rank;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.Waiting;
 import org.masticcroft.gateway.http.AnswerHead;
@@ -45,11 +46,12 @@
     /** Time without a byte after which one stream is taken as lost although its upstream serves others. */
     private static final Duration LOST_SILENCE = Duration.ofMillis(1600);
 
+    /** Time before the deadline at which a stream has to begin; half of them take longer on a loaded engine. */
+    private static final Duration STREAM_TIME = Duration.ofMillis(1500);
+
     /** Shortest time without an answer after which an idempotent request is sent to another upstream. */
     private static final Duration PLAIN_SILENCE = Duration.ofMillis(350);
 
-    private static final int MAX_URGENCY = 9;
-
     private final ExchangeContext context;
     private final CallerRequest request;
     private final Route route;
@@ -57,6 +59,7 @@
     private final AnswerWriter writer;
     private final String service;
     private final long arrivalNanos;
+    private final long waitingSinceNanos;
     private final long deadlineNanos;
     private final Set<String> tried = new HashSet<>();
     private final Future<?> deadlineTimer;
@@ -85,6 +88,8 @@
                 .filter(left -> left.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
         this.deadlineNanos = arrivalNanos + patience.toNanos();
+        this.waitingSinceNanos =
+                arrivalNanos - context.waitedBefore(route, request).toNanos();
         this.events = EventReader.after(request.resumeAfter().orElse(0));
         this.deadlineTimer = context.loop().schedule(this::expire, patience.toNanos(), TimeUnit.NANOSECONDS);
     }
@@ -108,9 +113,8 @@
     }
 
     @Override
-    public int rank() {
-        OptionalInt own = customer.map(Customer::rank).orElse(OptionalInt.empty());
-        return own.orElse(route.rank());
+    public Rank rank() {
+        return Rank.of(customer.map(Customer::rank).orElse(OptionalInt.empty()), route.rank());
     }
 
     @Override
@@ -118,19 +122,29 @@
         return customer.map(Customer::name).orElse("");
     }
 
-    @Override
     public long arrivalNanos() {
         return arrivalNanos;
     }
 
+    @Override
+    public long waitingSinceNanos() {
+        return waitingSinceNanos;
+    }
+
     @Override
     public Duration target() {
         return route.target();
     }
 
     @Override
-    public long deadlineNanos() {
-        return deadlineNanos;
+    public long giveUpNanos() {
+        long lastStart = streams() ? deadlineNanos - STREAM_TIME.toNanos() : deadlineNanos;
+        return Math.min(lastStart, arrivalNanos + route.patience().toNanos());
+    }
+
+    @Override
+    public boolean begun() {
+        return sends > 0;
     }
 
     @Override
@@ -189,7 +203,11 @@
 
     @Override
     public void refuse(Refusal refusal) {
-        finish(503, Verdict.NOT_RUN, refusal.reason(), Optional.of(refusal.retryAfter()));
+        if (answering || mayHaveRun) {
+            failFinally(refusal.reason());
+        } else {
+            finish(503, Verdict.NOT_RUN, refusal.reason(), Optional.of(refusal.retryAfter()));
+        }
     }
 
     /** Looks whether the upstream has gone silent, and goes to another one if the request may be repeated. */
@@ -212,6 +230,10 @@
         }
     }
 
+    public String service() {
+        return service;
+    }
+
     boolean streams() {
         return route.kind() == RouteKind.STREAM;
     }
@@ -226,6 +248,7 @@
 
     void startAnswer(int status, HttpHeaders headers) {
         answering = true;
+        context.firstByte(this, attempt.age());
         writer.start(status, headers);
     }
 
@@ -235,6 +258,7 @@
 
     /** Completes a streamed answer. */
     void endAnswer() {
+        context.sendEnded(lastUpstream(), "");
         close();
         writer.end();
         ended(200, Verdict.RAN, "");
@@ -242,6 +266,7 @@
 
     /** Passes a complete answer of the upstream on as it is. */
     void passOn(AnswerHead head, HttpHeaders headers, ByteBuf body) {
+        context.sendEnded(lastUpstream(), head.success() ? "" : "upstream-status-" + head.status());
         close();
         writer.whole(head.status(), headers, body);
         ended(head.status(), Verdict.RAN, head.success() ? "" : "upstream-status");
@@ -258,6 +283,7 @@
     void attemptFailed(Upstream upstream, Verdict verdict, String reason, boolean wasFull) {
         long now = context.time().nanoTime();
         attempt = null;
+        context.sendEnded(upstream.id(), reason);
         if (verdict == Verdict.NOT_RUN) {
             upstream.refused(now, wasFull ? FULL_PAUSE : MISMATCH_PAUSE);
         } else {
@@ -369,8 +395,7 @@
 
     private Forwarding forwarding(Upstream upstream, long now) {
         Optional<Duration> remaining = Optional.of(Duration.ofNanos(Math.max(1_000_000, deadlineNanos - now)));
-        OptionalInt urgency =
-                streams() ? OptionalInt.of(Math.max(0, Math.min(MAX_URGENCY, rank()))) : OptionalInt.empty();
+        OptionalInt urgency = streams() ? OptionalInt.of(rank().urgency()) : OptionalInt.empty();
         OptionalLong resume = events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty();
         return new Forwarding(
                 upstream.id(),
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Random;
 import java.util.Set;
+import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpCaller;
 import org.masticcroft.gateway.log.DecisionLog;
@@ -26,6 +28,9 @@
     /** Returns the version of the configuration in force, for logs. */
     long configVersion();
 
+    /** Returns how long a caller has been waiting already when its request arrives, because it was refused before. */
+    Duration waitedBefore(Route route, CallerRequest request);
+
     /** Returns when a caller that is refused should come back. */
     Duration retryAfter();
 
@@ -47,9 +52,18 @@
     /** Is called when an upstream broke off while it had a request and had sent nothing of the answer. */
     void brokeOff(Exchange exchange, String upstream);
 
+    /** Is called once when the first byte of a streamed answer goes to the caller, with the time since the send. */
+    void firstByte(Exchange exchange, Duration sinceSend);
+
+    /** Is called once when a send to an upstream has ended; an empty reason stands for a complete answer. */
+    void sendEnded(String upstream, String reason);
+
     /** Is called when an upstream has room again. */
     void roomAt(String service);
 
+    /** Is called once when a request was refused before it became an exchange. */
+    void refused(CallerRequest request, int status, String reason);
+
     /** Is called once when a request has ended. */
     void ended(Exchange exchange, ExchangeEnd end);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -24,6 +24,7 @@
     private final Exchange exchange;
     private final ExchangeContext context;
     private final Upstream upstream;
+    private final long startNanos;
     private Call call;
     private AnswerHead head;
     private HttpHeaders headers;
@@ -36,7 +37,8 @@
         this.exchange = exchange;
         this.context = context;
         this.upstream = upstream;
-        this.lastByteNanos = context.time().nanoTime();
+        this.startNanos = context.time().nanoTime();
+        this.lastByteNanos = startNanos;
     }
 
     static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
@@ -61,6 +63,11 @@
         return call.sent();
     }
 
+    /** Returns the time since the request was sent. */
+    Duration age() {
+        return context.time().since(startNanos);
+    }
+
     Duration silence(long nowNanos) {
         return Duration.ofNanos(nowNanos - lastByteNanos);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of a process, and their text form. */
+package org.masticcroft.gateway.metrics;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
 import java.util.HashMap;
@@ -17,38 +15,33 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.config.CallerLimits;
-import org.masticcroft.gateway.config.Customer;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
-import org.masticcroft.gateway.config.UpstreamService;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
-import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeContext;
 import org.masticcroft.gateway.exchange.ExchangeEnd;
-import org.masticcroft.gateway.exchange.RetryAfter;
+import org.masticcroft.gateway.exchange.UsualDeadline;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
 import org.masticcroft.gateway.fleet.FleetStore;
 import org.masticcroft.gateway.fleet.NamedWeights;
 import org.masticcroft.gateway.fleet.StoreContact;
-import org.masticcroft.gateway.generated.Datagram;
-import org.masticcroft.gateway.generated.EngineLoad;
-import org.masticcroft.gateway.generated.Subscription;
-import org.masticcroft.gateway.generated.Suspicion;
-import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.AnswerWriter;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpCaller;
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.gateway.load.DatagramPort;
-import org.masticcroft.gateway.load.LoadReport;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.metrics.MetricsServer;
+import org.masticcroft.gateway.metrics.ProcessMetrics;
+import org.masticcroft.gateway.metrics.RequestMetrics;
+import org.masticcroft.gateway.metrics.Series;
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.retry.RetryAllowance;
 import org.masticcroft.kernel.retry.RetryBudget;
@@ -62,12 +55,6 @@
 
     private static final Duration UPSTREAMS_WAIT = Duration.ofMillis(2000);
 
-    /** Part of the time for revocations after which unconfirmed keys are refused; the rest covers the way back. */
-    private static final double CONFIRMATION_SHARE = 0.84;
-
-    /** Part of the time for revocations after which the entry asks for no new connections. */
-    private static final double READY_SHARE = 0.6;
-
     /** Time before the bound on old weights at which new requests stop going to them; they may wait in an engine. */
     private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
 
@@ -88,11 +75,15 @@
     private final Dialect dialect;
     private final DecisionLog log;
     private final HttpCaller caller;
-    private final DatagramPort datagrams;
+    private final ProcessMetrics metrics;
+    private final RequestMetrics requestMetrics;
+    private final FleetDatagrams datagrams;
     private final UpstreamTable upstreams;
     private final NamedWeights weights;
     private final StoreContact contact;
     private final FleetState fleet;
+    private final Confirmation confirmation;
+    private final RequestGate gate;
     private final UpstreamChooser chooser;
     private final HttpServer callers;
     private final HttpServer readiness;
@@ -100,6 +91,7 @@
     private final DirectoryFollower list;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Map<String, UsualDeadline> deadlines = new HashMap<>();
     private final Set<Exchange> open = new LinkedHashSet<>();
     private final CrashSuspects suspects = CrashSuspects.none();
     private final Random random;
@@ -114,11 +106,16 @@
         this.log = parts.log();
         this.caller = parts.caller();
         this.random = parts.random();
-        this.datagrams = DatagramPort.of(loop, log);
+        this.metrics = ProcessMetrics.empty();
+        this.requestMetrics = RequestMetrics.of(metrics);
         this.upstreams = UpstreamTable.of(log);
         this.weights = NamedWeights.none(time);
         this.contact = StoreContact.none(time);
-        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, model -> subscribe());
+        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, this::weightsNamed);
+        this.confirmation = new Confirmation(contact, settings.bounds().revocation());
+        this.datagrams =
+                new FleetDatagrams(settings, time, DatagramPort.of(loop, log), fleet, upstreams, weights, suspects);
+        this.gate = new RequestGate(this, fleet, confirmation, suspects);
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callers = HttpServer.of(loop, time, this::limits, this::handle);
         this.readiness = HttpServer.of(loop, time, CallerLimits::defaults, this::answerReadiness);
@@ -136,12 +133,25 @@
     public void start() {
         readiness.listen(settings.readiness().orElseThrow());
         callers.listen(settings.callers().orElseThrow());
-        datagrams.listen(settings.peerAddress(), this::received);
+        datagrams.listen();
+        exposeMetrics();
         loop.execute(operator::start);
         loop.execute(list::start);
         loop.scheduleAtFixedRate(this::serve, SERVE_MILLIS, SERVE_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::subscribe, CHECK_MILLIS, SUBSCRIBE_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(datagrams::subscribe, CHECK_MILLIS, SUBSCRIBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void exposeMetrics() {
+        metrics.gauge(Series.of("masticcroft_requests_open"), open::size);
+        metrics.gauge(
+                Series.of("masticcroft_upstreams_listed"),
+                () -> upstreams.listed().size());
+        metrics.gauge(Series.of("masticcroft_config_version"), this::configVersion);
+        metrics.gauge(
+                Series.of("masticcroft_config_age_ms"), () -> contact.age().toMillis());
+        metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
     }
 
     @Override
@@ -202,6 +212,13 @@
         return fleet.config().map(GatewayConfig::version).orElse(0L);
     }
 
+    @Override
+    public Duration waitedBefore(Route route, CallerRequest request) {
+        return request.deadline()
+                .map(deadlines.computeIfAbsent(route.name(), name -> UsualDeadline.unknown())::waited)
+                .orElse(Duration.ZERO);
+    }
+
     @Override
     public Duration retryAfter() {
         return RETRY_AFTER;
@@ -242,6 +259,17 @@
         log.write(Event.SUSPECT_MARKED, "request", exchange.id(), "upstream", upstream, "fingerprint", fingerprint);
     }
 
+    @Override
+    public void firstByte(Exchange exchange, Duration sinceSend) {
+        queue(exchange.service()).firstByteAfter(sinceSend);
+        requestMetrics.firstByte(exchange.route().kind(), millisSince(exchange.arrivalNanos()));
+    }
+
+    @Override
+    public void sendEnded(String upstream, String reason) {
+        requestMetrics.sendEnded(upstream, reason);
+    }
+
     @Override
     public void roomAt(String service) {
         ServiceQueue queue = queues.get(service);
@@ -253,6 +281,8 @@
     @Override
     public void ended(Exchange exchange, ExchangeEnd end) {
         open.remove(exchange);
+        long millis = millisSince(exchange.arrivalNanos());
+        requestMetrics.ended(exchange.route().kind(), end.status(), end.verdict(), end.reason(), millis);
         log.write(
                 Event.REQUEST_FINISHED,
                 "request",
@@ -272,7 +302,7 @@
                 "sends",
                 end.sends(),
                 "ms",
-                time.since(exchange.arrivalNanos()).toMillis(),
+                millis,
                 "config",
                 configVersion(),
                 "config_age_ms",
@@ -285,46 +315,12 @@
 
     private void handle(HttpRequest head, byte[] body, AnswerWriter writer) {
         checkSuspension();
-        CallerRequest request = dialect.decode(head, body);
-        Optional<GatewayConfig> config = fleet.config();
-        if (!fleet.complete()) {
-            refuse(request, writer, 503, "no-configuration");
-            return;
-        }
-        if (!suspects.isEmpty() && suspects.quarantined(request.fingerprint(), time.nanoTime())) {
-            refuse(request, writer, 503, "quarantined");
-            return;
-        }
-        boolean confirmed = contact.age().compareTo(share(CONFIRMATION_SHARE)) < 0;
-        Optional<Route> route = config.get().route(request.host(), request.path());
-        if (route.isEmpty()) {
-            refuse(request, writer, confirmed ? 404 : 503, "no-route");
-            return;
-        }
-        if (!config.get().requiresKeys() || route.get().open()) {
-            Exchange.start(this, request, route.get(), Optional.empty(), writer);
-            return;
-        }
-        if (!confirmed) {
-            refuse(request, writer, 503, "configuration-unconfirmed");
-            return;
-        }
-        Optional<Customer> customer = request.key().flatMap(config.get()::customer);
-        if (customer.isEmpty()) {
-            refuse(request, writer, 401, "unknown-key");
-            return;
-        }
-        Exchange.start(this, request, route.get(), customer, writer);
+        gate.handle(dialect.decode(head, body), writer);
     }
 
-    private void refuse(CallerRequest request, AnswerWriter writer, int status, String reason) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        if (status == 503) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(RETRY_AFTER));
-            // Another entry may know more, and a further request reaches it only on a new connection.
-            headers.set(HttpHeaderNames.CONNECTION, "close");
-        }
-        writer.whole(status, headers, Unpooled.EMPTY_BUFFER);
+    @Override
+    public void refused(CallerRequest request, int status, String reason) {
+        requestMetrics.refused(status, reason);
         log.write(
                 Event.REQUEST_REFUSED,
                 "request",
@@ -342,7 +338,7 @@
     }
 
     private void answerReadiness(HttpRequest head, byte[] body, AnswerWriter writer) {
-        boolean ready = !stopping && fleet.complete() && contact.age().compareTo(share(READY_SHARE)) < 0;
+        boolean ready = !stopping && fleet.complete() && confirmation.holdsForReadiness();
         if (ready != wasReady) {
             wasReady = ready;
             log.write(
@@ -357,10 +353,6 @@
         writer.whole(ready ? 200 : 503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
 
-    private Duration share(double part) {
-        return Duration.ofMillis((long) (settings.bounds().revocation().toMillis() * part));
-    }
-
     private void serve() {
         fleet.releaseHeld(time.nanoTime());
         queues.forEach((service, queue) -> {
@@ -384,43 +376,6 @@
         }
     }
 
-    private void subscribe() {
-        Subscription.Builder subscription = Subscription.newBuilder();
-        weights.newest()
-                .forEach((model, version) ->
-                        subscription.addNamed(org.masticcroft.gateway.generated.NamedWeights.newBuilder()
-                                .setModel(model)
-                                .setVersion(version)));
-        subscription.addAllSuspects(suspects.toTell());
-        Datagram datagram = Datagram.newBuilder().setSubscription(subscription).build();
-        for (Upstream upstream : upstreams.listed()) {
-            if (profile(upstream.listing().service()).isPresent()) {
-                datagrams.send(new Address(upstream.listing().address().ip(), settings.peerPort()), datagram);
-            }
-        }
-    }
-
-    private void received(Address sender, Datagram datagram) {
-        if (datagram.hasLoad()) {
-            EngineLoad load = datagram.getLoad();
-            LoadReport report = new LoadReport(
-                    load.getStartMillis(),
-                    load.getRunning(),
-                    load.getQueued(),
-                    load.getLoading(),
-                    load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty());
-            upstreams.reported(new Address(sender.ip(), load.getPort()), report, time.nanoTime());
-            for (Suspicion suspicion : load.getSuspicionsList()) {
-                if (!suspicion.getEntry().equals(settings.ip())) {
-                    suspicion
-                            .getFingerprintsList()
-                            .forEach(
-                                    fingerprint -> suspects.toldOf(fingerprint, suspicion.getEntry(), time.nanoTime()));
-                }
-            }
-        }
-    }
-
     private ServiceQueue queue(String service) {
         return queues.computeIfAbsent(service, name -> ServiceQueue.of(name, time, upstreams, chooser, log));
     }
@@ -434,7 +389,16 @@
     }
 
     private Optional<EngineProfile> profile(String service) {
-        return fleet.config().flatMap(config -> config.service(service)).flatMap(UpstreamService::profile);
+        return fleet.profile(service);
+    }
+
+    /** Tells the sidecars of a new version at once. */
+    private void weightsNamed(String model) {
+        datagrams.subscribe();
+    }
+
+    private long millisSince(long nanos) {
+        return time.since(nanos).toMillis();
     }
 
     private OptionalLong oldestServing(String service) {
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -0,0 +1,90 @@
+package org.masticcroft.gateway.node;
+
+import java.util.OptionalLong;
+import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.dispatch.UpstreamTable;
+import org.masticcroft.gateway.fleet.NamedWeights;
+import org.masticcroft.gateway.generated.Datagram;
+import org.masticcroft.gateway.generated.EngineLoad;
+import org.masticcroft.gateway.generated.Subscription;
+import org.masticcroft.gateway.generated.Suspicion;
+import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.load.DatagramPort;
+import org.masticcroft.gateway.load.LoadReport;
+import org.masticcroft.kernel.time.TimeSource;
+
+/**
+ * What an entry and the sidecars tell each other: the entry subscribes with the versions of weights and the suspected
+ * requests that it knows, the sidecars answer with the load of their engines and what other entries suspect.
+ */
+final class FleetDatagrams {
+    private final NodeSettings settings;
+    private final TimeSource time;
+    private final DatagramPort port;
+    private final FleetState fleet;
+    private final UpstreamTable upstreams;
+    private final NamedWeights weights;
+    private final CrashSuspects suspects;
+
+    FleetDatagrams(
+            NodeSettings settings,
+            TimeSource time,
+            DatagramPort port,
+            FleetState fleet,
+            UpstreamTable upstreams,
+            NamedWeights weights,
+            CrashSuspects suspects) {
+        this.settings = settings;
+        this.time = time;
+        this.port = port;
+        this.fleet = fleet;
+        this.upstreams = upstreams;
+        this.weights = weights;
+        this.suspects = suspects;
+    }
+
+    /** Starts to receive. */
+    void listen() {
+        port.listen(settings.peerAddress(), this::received);
+    }
+
+    /** Subscribes to the load of every engine that has a sidecar. */
+    void subscribe() {
+        Subscription.Builder subscription = Subscription.newBuilder();
+        weights.newest()
+                .forEach((model, version) ->
+                        subscription.addNamed(org.masticcroft.gateway.generated.NamedWeights.newBuilder()
+                                .setModel(model)
+                                .setVersion(version)));
+        subscription.addAllSuspects(suspects.toTell());
+        Datagram datagram = Datagram.newBuilder().setSubscription(subscription).build();
+        for (Upstream upstream : upstreams.listed()) {
+            if (fleet.profile(upstream.listing().service()).isPresent()) {
+                port.send(new Address(upstream.listing().address().ip(), settings.peerPort()), datagram);
+            }
+        }
+    }
+
+    private void received(Address sender, Datagram datagram) {
+        if (!datagram.hasLoad()) {
+            return;
+        }
+        EngineLoad load = datagram.getLoad();
+        LoadReport report = new LoadReport(
+                load.getStartMillis(),
+                load.getRunning(),
+                load.getQueued(),
+                load.getLoading(),
+                load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty());
+        long now = time.nanoTime();
+        upstreams.reported(new Address(sender.ip(), load.getPort()), report, now);
+        for (Suspicion suspicion : load.getSuspicionsList()) {
+            if (!suspicion.getEntry().equals(settings.ip())) {
+                suspicion
+                        .getFingerprintsList()
+                        .forEach(fingerprint -> suspects.toldOf(fingerprint, suspicion.getEntry(), now));
+            }
+        }
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
+import org.masticcroft.gateway.config.UpstreamService;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
@@ -66,6 +68,11 @@
         return config;
     }
 
+    /** Returns the cost model of a service, if it has one. */
+    Optional<EngineProfile> profile(String service) {
+        return config.flatMap(published -> published.service(service)).flatMap(UpstreamService::profile);
+    }
+
     boolean complete() {
         return config.isPresent() && upstreamsRead;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -15,6 +15,7 @@
  * @param regions region of each data centre
  * @param callers where callers connect; empty for a sidecar
  * @param readiness where readiness is asked for; empty for a sidecar
+ * @param metrics where metrics are fetched; empty if they are not exposed
  * @param peerPort port of the processes of the fleet among themselves, the same on all machines
  * @param linkMbitPerSecond rate of the machine's link, in megabits per second
  * @param store address of the platform's store
@@ -28,6 +29,7 @@
         Map<String, String> regions,
         Optional<Address> callers,
         Optional<Address> readiness,
+        Optional<Address> metrics,
         int peerPort,
         double linkMbitPerSecond,
         Address store,
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestGate.java
@@ -0,0 +1,78 @@
+package org.masticcroft.gateway.node;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.masticcroft.gateway.config.Customer;
+import org.masticcroft.gateway.config.GatewayConfig;
+import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.exchange.Exchange;
+import org.masticcroft.gateway.exchange.ExchangeContext;
+import org.masticcroft.gateway.exchange.RetryAfter;
+import org.masticcroft.gateway.http.AnswerWriter;
+import org.masticcroft.gateway.http.CallerRequest;
+
+/** Decides whether a request may go on: configuration, quarantine, route and key. */
+final class RequestGate {
+    private static final int NOT_RUN_STATUS = 503;
+
+    private final ExchangeContext context;
+    private final FleetState fleet;
+    private final Confirmation confirmation;
+    private final CrashSuspects suspects;
+
+    RequestGate(ExchangeContext context, FleetState fleet, Confirmation confirmation, CrashSuspects suspects) {
+        this.context = context;
+        this.fleet = fleet;
+        this.confirmation = confirmation;
+        this.suspects = suspects;
+    }
+
+    /** Starts the exchange of a request, or refuses the request. */
+    void handle(CallerRequest request, AnswerWriter writer) {
+        if (!fleet.complete()) {
+            refuse(request, writer, NOT_RUN_STATUS, "no-configuration");
+            return;
+        }
+        if (!suspects.isEmpty()
+                && suspects.quarantined(request.fingerprint(), context.time().nanoTime())) {
+            refuse(request, writer, NOT_RUN_STATUS, "quarantined");
+            return;
+        }
+        GatewayConfig config = fleet.config().orElseThrow();
+        boolean confirmed = confirmation.holdsForKeys();
+        Optional<Route> route = config.route(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(request, writer, confirmed ? 404 : NOT_RUN_STATUS, "no-route");
+            return;
+        }
+        if (!config.requiresKeys() || route.get().open()) {
+            Exchange.start(context, request, route.get(), Optional.empty(), writer);
+            return;
+        }
+        if (!confirmed) {
+            refuse(request, writer, NOT_RUN_STATUS, "configuration-unconfirmed");
+            return;
+        }
+        Optional<Customer> customer = request.key().flatMap(config::customer);
+        if (customer.isEmpty()) {
+            refuse(request, writer, 401, "unknown-key");
+            return;
+        }
+        Exchange.start(context, request, route.get(), customer, writer);
+    }
+
+    private void refuse(CallerRequest request, AnswerWriter writer, int status, String reason) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (status == NOT_RUN_STATUS) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(context.retryAfter()));
+            // Another entry may know more, and a further request reaches it only on a new connection.
+            headers.set(HttpHeaderNames.CONNECTION, "close");
+        }
+        writer.whole(status, headers, Unpooled.EMPTY_BUFFER);
+        context.refused(request, status, reason);
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -25,6 +25,9 @@
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.metrics.MetricsServer;
+import org.masticcroft.gateway.metrics.ProcessMetrics;
+import org.masticcroft.gateway.metrics.Series;
 import org.masticcroft.gateway.weights.EngineReport;
 import org.masticcroft.gateway.weights.OwnEngine;
 import org.masticcroft.gateway.weights.PacedUploads;
@@ -68,6 +71,7 @@
     private final OwnEngine engine;
     private final DatagramPort datagrams;
     private final HttpServer peerServer;
+    private final ProcessMetrics metrics;
     private final WeightsKeeper keeper;
     private final String service;
     private final Map<Address, Long> subscribers = new HashMap<>();
@@ -92,7 +96,8 @@
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
-        this.keeper = WeightsKeeper.of(settings, parts, engine, sources);
+        this.metrics = ProcessMetrics.empty();
+        this.keeper = WeightsKeeper.of(settings, parts, engine, sources, metrics);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handOut);
     }
 
@@ -114,6 +119,10 @@
     public void start() {
         datagrams.listen(settings.peerAddress(), this::received);
         peerServer.listen(settings.peerAddress());
+        metrics.gauge(Series.of("masticcroft_entries_subscribed"), subscribers::size);
+        metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
+
         loop.execute(this::readOperator);
         loop.scheduleAtFixedRate(this::readReport, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.log.DecisionLog;
@@ -36,7 +35,7 @@
     private final TimeSource time;
     private final UniformRandomProvider random;
     private final DecisionLog log;
-    private final BiConsumer<Integer, byte[]> verified;
+    private final FetchListener listener;
     private final Set<Integer> inProgress = new HashSet<>();
     private final Set<String> busyPeers = new HashSet<>();
     private final long startNanos;
@@ -55,7 +54,7 @@
             TimeSource time,
             UniformRandomProvider random,
             DecisionLog log,
-            BiConsumer<Integer, byte[]> verified) {
+            FetchListener listener) {
         this.stock = stock;
         this.place = place;
         this.planner = planner;
@@ -64,7 +63,7 @@
         this.time = time;
         this.random = random;
         this.log = log;
-        this.verified = verified;
+        this.listener = listener;
         this.startNanos = time.nanoTime();
         this.progressNanos = startNanos;
     }
@@ -98,7 +97,7 @@
                 "piece",
                 fetch.chunk(),
                 "source",
-                fetch.source() instanceof Fetch.Source.PeerSource from ? from.instance() : "origin",
+                fetch.source() instanceof Fetch.Source.PeerSource from ? from.instance() : FetchListener.ORIGIN,
                 "reason",
                 fetch.reason());
         Manifest manifest = stock.manifest();
@@ -131,7 +130,7 @@
         }
         if (data.isPresent() && stock.add(fetch.chunk(), data.get())) {
             progressNanos = time.nanoTime();
-            verified.accept(fetch.chunk(), data.get());
+            listener.fetched(fetch.chunk(), peer.isEmpty() ? FetchListener.ORIGIN : peer);
         } else {
             setBack(fetch, peer, data.isPresent());
         }
@@ -139,6 +138,8 @@
     }
 
     private void setBack(Fetch fetch, String peer, boolean corrupt) {
+        String source = peer.isEmpty() ? FetchListener.ORIGIN : peer;
+        listener.failed(fetch.chunk(), source, corrupt);
         log.write(
                 corrupt ? Event.CHUNK_REJECTED : Event.SOURCE_SET_BACK,
                 "version",
@@ -146,7 +147,7 @@
                 "piece",
                 fetch.chunk(),
                 "source",
-                peer.isEmpty() ? "origin" : peer,
+                source,
                 "reason",
                 corrupt ? "wrong-digest" : "not-given");
         if (!peer.isEmpty()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.masticcroft.gateway.config.GatewayConfig;
@@ -11,6 +12,9 @@
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.metrics.ProcessMetrics;
+import org.masticcroft.gateway.metrics.Series;
+import org.masticcroft.gateway.metrics.WeightsMetrics;
 import org.masticcroft.gateway.node.NodeParts;
 import org.masticcroft.gateway.node.NodeSettings;
 import org.masticcroft.kernel.event.Event;
@@ -51,6 +55,7 @@
     private final Peers peers;
     private final FetchPlanner planner = RegionalSwarmPlanner.of(PATIENCE);
     private final UniformRandomProvider random;
+    private final WeightsMetrics weightsMetrics;
     private Optional<GatewayConfig> config = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private String model = "";
@@ -67,7 +72,8 @@
     private long orderedNanos;
     private int manifestTurn;
 
-    private WeightsKeeper(NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources) {
+    private WeightsKeeper(
+            NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources, ProcessMetrics metrics) {
         this.settings = settings;
         this.time = parts.time();
         this.log = parts.log();
@@ -75,11 +81,22 @@
         this.sources = sources;
         this.peers = Peers.of(time, settings.ip());
         this.random = new SplitMix64(parts.random().nextLong());
+        this.weightsMetrics = WeightsMetrics.of(metrics);
+        metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newest);
+        metrics.gauge(
+                Series.of("masticcroft_weights_loaded_version"),
+                () -> report.map(EngineReport::loadedVersion)
+                        .orElse(OptionalLong.empty())
+                        .orElse(0));
+        metrics.gauge(
+                Series.of("masticcroft_weights_pieces_held"),
+                () -> stock.map(own -> own.held().cardinality()).orElse(0));
     }
 
     /** Creates a keeper for the engine of the own machine. */
-    public static WeightsKeeper of(NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources) {
-        return new WeightsKeeper(settings, parts, engine, sources);
+    public static WeightsKeeper of(
+            NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources, ProcessMetrics metrics) {
+        return new WeightsKeeper(settings, parts, engine, sources, metrics);
     }
 
     /** Applies a version of the configuration. */
@@ -304,7 +321,18 @@
                 time,
                 random,
                 log,
-                (piece, data) -> area.add(piece)));
+                new FetchListener() {
+                    @Override
+                    public void fetched(int piece, String source) {
+                        weightsMetrics.fetched(source.equals(ORIGIN));
+                        area.add(piece);
+                    }
+
+                    @Override
+                    public void failed(int piece, String source, boolean corrupt) {
+                        weightsMetrics.failed(source.equals(ORIGIN), corrupt);
+                    }
+                }));
         log.write(
                 Event.FETCH_STARTED, "version", target, "pieces", own.manifest().pieces());
         for (int piece = own.held().nextSetBit(0);
@@ -362,21 +390,22 @@
         }
         ordered = true;
         orderedNanos = time.nanoTime();
-        engine.load(
+        engine.load(model, version, report.get().ordersBegun(), outcome -> ordered(version, outcome));
+    }
+
+    private void ordered(long version, OwnEngine.OrderOutcome outcome) {
+        weightsMetrics.ordered(outcome.name());
+        log.write(
+                Event.ENGINE_ORDER,
+                "order",
+                "load",
+                "model",
                 model,
+                "version",
                 version,
+                "orders",
                 report.get().ordersBegun(),
-                outcome -> log.write(
-                        Event.ENGINE_ORDER,
-                        "order",
-                        "load",
-                        "model",
-                        model,
-                        "version",
-                        version,
-                        "orders",
-                        report.get().ordersBegun(),
-                        "outcome",
-                        outcome));
+                "outcome",
+                outcome);
     }
 }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -8,7 +8,8 @@
 /** A request that records what was decided. */
 final class FakeRequest implements Waiting {
     private final String id;
-    private final int rank;
+    private final Rank rank;
+    boolean begun;
     private final long arrivalNanos;
     private final Duration target;
     private final Duration patience;
@@ -16,7 +17,7 @@
     Optional<Choice> choice = Optional.empty();
     Optional<Refusal> refusal = Optional.empty();
 
-    FakeRequest(String id, int rank, long arrivalNanos, Duration target, Duration patience) {
+    FakeRequest(String id, Rank rank, long arrivalNanos, Duration target, Duration patience) {
         this.id = id;
         this.rank = rank;
         this.arrivalNanos = arrivalNanos;
@@ -30,7 +31,7 @@
     }
 
     @Override
-    public int rank() {
+    public Rank rank() {
         return rank;
     }
 
@@ -40,7 +41,7 @@
     }
 
     @Override
-    public long arrivalNanos() {
+    public long waitingSinceNanos() {
         return arrivalNanos;
     }
 
@@ -50,10 +51,15 @@
     }
 
     @Override
-    public long deadlineNanos() {
+    public long giveUpNanos() {
         return arrivalNanos + patience.toNanos();
     }
 
+    @Override
+    public boolean begun() {
+        return begun;
+    }
+
     @Override
     public int promptTokens() {
         return 800;
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -48,16 +49,19 @@
                 time.nanoTime());
     }
 
-    private FakeRequest request(String id, int rank) {
+    private FakeRequest request(String id, Rank rank) {
         return new FakeRequest(id, rank, time.nanoTime(), TARGET, PATIENCE);
     }
 
-    private FakeRequest add(String id, int rank, OptionalLong oldest) {
-        FakeRequest request = request(id, rank);
+    private FakeRequest add(FakeRequest request, OptionalLong oldest) {
         queue.add(request, PROFILE, oldest);
         return request;
     }
 
+    private FakeRequest add(String id, int rank, OptionalLong oldest) {
+        return add(request(id, new Rank(1, rank)), oldest);
+    }
+
     private FakeRequest add(String id, int rank) {
         return add(id, rank, OptionalLong.empty());
     }
@@ -84,6 +88,46 @@
             assertThat(low.choice).isEmpty();
         }
 
+        // Guards against a rank of all customers that hides which of their requests are urgent.
+        @Test
+        void decidesByTheRouteAmongCustomersOfOneRank() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest a = add("a", 2);
+            add("b", 2);
+            FakeRequest low = add(request("low", Rank.of(OptionalInt.of(1), 2)), OptionalLong.empty());
+            FakeRequest high = add(request("high", Rank.of(OptionalInt.of(1), 1)), OptionalLong.empty());
+            free(a);
+            assertThat(high.choice).isPresent();
+            assertThat(low.choice).isEmpty();
+        }
+
+        @Test
+        void letsTheRankOfACustomerGoBeforeThatOfARoute() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest a = add("a", 2);
+            add("b", 2);
+            FakeRequest other = add(request("other", Rank.of(OptionalInt.of(1), 1)), OptionalLong.empty());
+            FakeRequest preferred = add(request("preferred", Rank.of(OptionalInt.of(0), 2)), OptionalLong.empty());
+            free(a);
+            assertThat(preferred.choice).isPresent();
+            assertThat(other.choice).isEmpty();
+        }
+
+        // Guards against a stream that was broken off and waits behind new requests until its caller leaves.
+        @Test
+        void servesARequestThatWasSentBeforeFirst() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest a = add("a", 1);
+            add("b", 1);
+            FakeRequest fresh = add("fresh", 1);
+            FakeRequest begun = request("begun", new Rank(1, 2));
+            begun.begun = true;
+            add(begun, OptionalLong.empty());
+            free(a);
+            assertThat(begun.choice).isPresent();
+            assertThat(fresh.choice).isEmpty();
+        }
+
         // Guards against late answers that make answers on time late, too.
         @Test
         void servesARequestOnTimeBeforeALateOneOfTheRankAbove() {
@@ -183,13 +227,39 @@
             assertThat(last.refusal.orElseThrow().reason()).isEqualTo("expected-wait");
         }
 
+        // Guards against requests of a low rank that wait although more urgent arrivals take all the room.
+        @Test
+        void countTheMoreUrgentArrivals() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            add("a", 1);
+            add("b", 1);
+            for (int i = 0; i < 40; i++) {
+                time.advance(Duration.ofMillis(50));
+                queue.serve(PROFILE, OptionalLong.empty());
+                add("urgent" + i, 1);
+            }
+            assertThat(add("low", 2).refusal.orElseThrow().reason()).isEqualTo("expected-wait");
+        }
+
+        // Guards against requests that are held through an outage until their callers leave.
+        @Test
+        void areGivenToAllThatWaitWhenNoUpstreamServesAnyMore() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            add("a", 1);
+            add("b", 1);
+            FakeRequest waiting = add("c", 1);
+            assertThat(waiting.refusal).isEmpty();
+            queue.serve(PROFILE, OptionalLong.of(2));
+            assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-upstream");
+        }
+
         @Test
         void areGivenBeforeTheTimeIsUp() {
             list("e1", "10.0.0.1", "z1", 1, false);
             add("a", 2);
             add("b", 2);
             FakeRequest waiting = add("c", 2);
-            time.advance(Duration.ofMillis(5600));
+            time.advance(PATIENCE.minusMillis(100));
             queue.serve(PROFILE, OptionalLong.empty());
             assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-time-left");
         }
