--- a/account/src/main/java/org/masticcroft/account/batch/BatchCodec.java
+++ b/account/src/main/java/org/masticcroft/account/batch/BatchCodec.java
@@ -7,20 +7,15 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
-import com.github.luben.zstd.Zstd;
-import com.github.luben.zstd.ZstdException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import org.masticcroft.account.record.AuditRecord;
-import org.masticcroft.kernel.error.ErrorCode;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.kernel.verdict.Verdict;
 
-/** Converts batches to and from log records: the header as a line of JSON, then the payload compressed with zstd. */
+/** Converts batches to and from log records: the header as a line of JSON, then the compressed payload. */
 public final class BatchCodec {
-    private static final int COMPRESSION_LEVEL = 3;
-    private static final int MAX_PAYLOAD_BYTES = 64 << 20;
+
     private static final byte LINE_FEED = '\n';
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .addModule(new Jdk8Module())
@@ -31,10 +26,15 @@
 
     private BatchCodec() {}
 
-    /** Encodes a batch as a log record. */
+    /** Encodes a batch as a log record whose payload is compressed with zstd. */
     public static byte[] encode(Batch batch) {
+        return encode(batch, PayloadCodec.zstd());
+    }
+
+    /** Encodes a batch as a log record. */
+    public static byte[] encode(Batch batch, PayloadCodec codec) {
         byte[] header = headerLine(batch.header()).getBytes(StandardCharsets.UTF_8);
-        byte[] payload = Zstd.compress(batch.payload(), COMPRESSION_LEVEL);
+        byte[] payload = codec.compress(batch.payload());
         byte[] record = Arrays.copyOf(header, header.length + 1 + payload.length);
         record[header.length] = LINE_FEED;
         System.arraycopy(payload, 0, record, header.length + 1, payload.length);
@@ -50,16 +50,8 @@
         int end = indexOfLineFeed(record);
         BatchHeader header = parseHeader(new String(record, 0, end, StandardCharsets.UTF_8));
         byte[] compressed = Arrays.copyOfRange(record, end + 1, record.length);
-        try {
-            long size = Zstd.getFrameContentSize(compressed);
-            if (size < 0 || size > MAX_PAYLOAD_BYTES) {
-                throw malformed("payload size " + size + " is out of range", null);
-            }
-            String payload = new String(Zstd.decompress(compressed, (int) size), StandardCharsets.UTF_8);
-            return new Batch(header, lines(payload));
-        } catch (ZstdException e) {
-            throw malformed("the payload cannot be decompressed", e);
-        }
+        byte[] payload = PayloadCodec.of(compressed).decompress(compressed);
+        return new Batch(header, lines(new String(payload, StandardCharsets.UTF_8)));
     }
 
     /** Returns the header as a line of JSON without line break. */
@@ -76,7 +68,7 @@
         try {
             return MAPPER.readValue(line, BatchHeader.class);
         } catch (JsonProcessingException e) {
-            throw malformed("the header is not a batch header", e);
+            throw PayloadCodec.malformed("the header is not a batch header", e);
         }
     }
 
@@ -94,7 +86,7 @@
         try {
             return MAPPER.readValue(line, AuditRecord.class);
         } catch (JsonProcessingException e) {
-            throw malformed("the line is not an audit record", e);
+            throw PayloadCodec.malformed("the line is not an audit record", e);
         }
     }
 
@@ -118,10 +110,6 @@
                 return i;
             }
         }
-        throw malformed("it has no header line", null);
-    }
-
-    private static MasticcroftException malformed(String reason, Throwable cause) {
-        return MasticcroftException.of(ErrorCode.INTERNAL, Verdict.NOT_RUN, "not an account batch: " + reason, cause);
+        throw PayloadCodec.malformed("it has no header line", null);
     }
 }
--- a/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
+++ b/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
@@ -6,15 +6,15 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.masticcroft.account.batch.Batch;
 import org.masticcroft.account.batch.BatchCodec;
 import org.masticcroft.account.batch.BatchHeader;
+import org.masticcroft.account.batch.PayloadCodec;
 import org.masticcroft.account.key.SigningKey;
 import org.masticcroft.account.record.AuditRecord;
 import org.masticcroft.kernel.error.MasticcroftException;
-import org.masticcroft.kernel.event.Event;
-import org.masticcroft.kernel.event.EventLog;
 import org.masticcroft.kernel.time.TimeSource;
 import org.masticcroft.ports.log.LogService;
 import org.masticcroft.ports.log.Streams;
@@ -28,9 +28,11 @@
  */
 public final class LogAccountWriter implements AccountWriter {
     private final AccountSettings settings;
-    private final SigningKey key;
+    private final Supplier<SigningKey> key;
     private final LogService log;
     private final TimeSource time;
+    private final PayloadCodec codec;
+    private final AccountEvents events;
     private final RecordBuffer buffer;
     private final Object flushLock = new Object();
     private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor(task -> {
@@ -45,22 +47,53 @@
     private long lastAppendNanos;
     private boolean ended;
 
-    private LogAccountWriter(AccountSettings settings, SigningKey key, LogService log, TimeSource time) {
+    private LogAccountWriter(
+            AccountSettings settings,
+            Supplier<SigningKey> key,
+            LogService log,
+            TimeSource time,
+            PayloadCodec codec,
+            AccountEvents events) {
         this.settings = settings;
         this.key = key;
         this.log = log;
         this.time = time;
+        this.codec = codec;
+        this.events = events;
         this.buffer = new RecordBuffer(settings.bufferBytes());
         this.coveredUntilMillis = time.now().toEpochMilli();
     }
 
     /** Creates a writer that does not flush by itself; tests and {@link #start} drive it. */
     public static LogAccountWriter of(AccountSettings settings, SigningKey key, LogService log, TimeSource time) {
+        Objects.requireNonNull(key, "key");
+        return of(settings, () -> key, log, time, PayloadCodec.zstd(), AccountEvents.logged());
+    }
+
+    /**
+     * Creates a writer that does not flush by itself.
+     *
+     * @param settings settings
+     * @param key gives the signing key; called for each batch, on the thread that appends
+     * @param log where batches are appended
+     * @param time clock
+     * @param codec codec of the payload
+     * @param events receiver of what happens to the records
+     */
+    public static LogAccountWriter of(
+            AccountSettings settings,
+            Supplier<SigningKey> key,
+            LogService log,
+            TimeSource time,
+            PayloadCodec codec,
+            AccountEvents events) {
         return new LogAccountWriter(
                 Objects.requireNonNull(settings, "settings"),
                 Objects.requireNonNull(key, "key"),
                 Objects.requireNonNull(log, "log"),
-                Objects.requireNonNull(time, "time"));
+                Objects.requireNonNull(time, "time"),
+                Objects.requireNonNull(codec, "codec"),
+                Objects.requireNonNull(events, "events"));
     }
 
     /** Appends the opening batch and flushes at the settings' interval from now on. */
@@ -87,7 +120,7 @@
             dropped = buffer.add(line, time.now().toEpochMilli());
         }
         if (dropped) {
-            EventLog.warn(Event.ACCOUNT_GAP, "writer", settings.writer(), "bound_bytes", settings.bufferBytes());
+            events.dropped(settings.writer(), settings.bufferBytes());
         }
     }
 
@@ -140,7 +173,7 @@
                 appendNext(true, false);
             }
         } catch (RuntimeException e) {
-            EventLog.error(Event.INTERNAL_ERROR, e, "component", "account-writer");
+            events.failed(e);
         }
     }
 
@@ -161,6 +194,7 @@
     }
 
     private Batch sealNext(boolean last) {
+        SigningKey signing = key.get();
         RecordBuffer.Chunk chunk;
         long closed;
         synchronized (buffer) {
@@ -179,9 +213,9 @@
                 closed,
                 chunk.gap(),
                 last,
-                key.id(),
+                signing.id(),
                 "");
-        Batch batch = Batch.seal(unsigned, chunk.lines(), key);
+        Batch batch = Batch.seal(unsigned, chunk.lines(), signing);
         previousHash = batch.header().hash();
         coveredUntilMillis = closed;
         return batch;
@@ -190,14 +224,13 @@
     private boolean appendPending() {
         BatchHeader header = pending.header();
         try {
-            long offset = log.append(Streams.ACCOUNT, BatchCodec.encode(pending));
-            EventLog.info(Event.ACCOUNT_FLUSHED, "first", header.first(), "count", header.count(), "offset", offset);
+            long offset = log.append(Streams.ACCOUNT, BatchCodec.encode(pending, codec));
+            events.flushed(header.first(), header.count(), offset);
             pending = null;
             lastAppendNanos = time.nanoTime();
             return true;
         } catch (MasticcroftException e) {
-            EventLog.warn(
-                    Event.ACCOUNT_FLUSH_FAILED, "first", header.first(), "count", header.count(), "code", e.code());
+            events.flushFailed(header.first(), header.count(), e.code());
             return false;
         }
     }
--- a/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
+++ b/cli/src/main/java/org/masticcroft/cli/AccountCommand.java
@@ -20,6 +20,7 @@
         },
         subcommands = {
             AccountExportCommand.class,
+            AccountKeysCommand.class,
             AccountVerifyCommand.class,
             AccountReportCommand.class,
             AccountDueCommand.class,
--- a/cli/src/main/java/org/masticcroft/cli/PlatformSettings.java
+++ b/cli/src/main/java/org/masticcroft/cli/PlatformSettings.java
@@ -21,7 +21,8 @@
             names = "--log-url",
             paramLabel = "URL",
             defaultValue = DEFAULT_LOG_URL,
-            description = "Log service. Variable MASTICCROFT_LOG_URL. Default: " + DEFAULT_LOG_URL + ".")
+            description = "Log service, or store://HOST:PORT to read the account from the platform's store."
+                    + " Variable MASTICCROFT_LOG_URL. Default: " + DEFAULT_LOG_URL + ".")
     private String logUrl;
 
     @Option(
@@ -45,7 +46,7 @@
      * @throws picocli.CommandLine.ParameterException if a setting is not valid
      */
     public Platform open(CliContext context, SettingProblems problems) {
-        URI log = problems.url("--log-url", logUrl);
+        URI log = problems.logUrl("--log-url", logUrl);
         URI instances = problems.url("--instances-url", instancesUrl);
         Duration timeout =
                 problems.duration("--peer-timeout", peerTimeout, SHORTEST_PEER_TIMEOUT, LONGEST_PEER_TIMEOUT);
--- a/cli/src/main/java/org/masticcroft/cli/fleet/Platform.java
+++ b/cli/src/main/java/org/masticcroft/cli/fleet/Platform.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.masticcroft.cli.SettingProblems;
 import org.masticcroft.ports.instance.Instance;
 import org.masticcroft.ports.log.LogService;
 import org.masticcroft.wire.PeerClient;
@@ -31,15 +32,17 @@
         /**
          * Opens the platform at the given addresses.
          *
-         * @param log base URL of the log service
+         * @param log base URL of the log service, or address of the platform's store
          * @param instances base URL of the instance list
          * @param peerTimeout time that an instance has for an answer
          */
         Platform open(URI log, URI instances, Duration peerTimeout);
     }
 
-    /** Returns a factory of platforms over HTTP and the peer protocol. */
+    /** Returns a factory of platforms over HTTP and the peer protocol, or of the platform's store by its scheme. */
     static Factory http() {
-        return HttpPlatform::new;
+        return (log, instances, peerTimeout) -> log.getScheme().equals(SettingProblems.STORE)
+                ? new StorePlatform(log, peerTimeout)
+                : new HttpPlatform(log, instances, peerTimeout);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/account/EntryAccount.java
@@ -0,0 +1,149 @@
+package org.masticcroft.gateway.account;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.masticcroft.account.batch.PayloadCodec;
+import org.masticcroft.account.key.SigningKey;
+import org.masticcroft.account.record.AuditRecord;
+import org.masticcroft.account.record.ChangeRecord;
+import org.masticcroft.account.writer.AccountEvents;
+import org.masticcroft.account.writer.AccountSettings;
+import org.masticcroft.account.writer.AccountWriter;
+import org.masticcroft.account.writer.LogAccountWriter;
+import org.masticcroft.gateway.fleet.FleetStore;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.kernel.error.ErrorCode;
+import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.time.TimeSource;
+
+/**
+ * Keeps the account of an entry in the platform's store. The machine has no place for a secret, so unless a signing key
+ * is given, each process generates one and states the public key in its first batch.
+ */
+public final class EntryAccount implements AccountWriter {
+    /** Kind of the record that states a public key. */
+    public static final String KEY_STATED = "signing-key";
+
+    /** Time between two appends; each one is a priced call, and a loss of power loses what is not appended. */
+    private static final Duration FLUSH_INTERVAL = Duration.ofSeconds(4);
+
+    /** Time after which an empty batch states that the entry lives and had no requests. */
+    private static final Duration IDLE_INTERVAL = Duration.ofMinutes(1);
+
+    /** Records that wait while the store is away; some minutes of a busy entry in a process of 96 MB. */
+    private static final long BUFFER_BYTES = 8L << 20;
+
+    /** Payload of a batch before compression; a record of the store holds 256 kB. */
+    private static final int BATCH_BYTES = 192 << 10;
+
+    /** Time after the start at which the first batch is sealed, when the entry already serves. */
+    private static final long FIRST_BATCH_SECONDS = 3;
+
+    private final TimeSource time;
+    private final LogAccountWriter writer;
+    private final Optional<SigningKey> given;
+    private SigningKey key;
+
+    private EntryAccount(
+            String name,
+            FleetStore store,
+            EventLoop loop,
+            TimeSource time,
+            DecisionLog log,
+            Optional<SigningKey> given) {
+        this.time = time;
+        this.given = given;
+        String process = name + "-" + time.now().toEpochMilli();
+        this.writer = LogAccountWriter.of(
+                new AccountSettings(process, "entry", FLUSH_INTERVAL, IDLE_INTERVAL, BUFFER_BYTES, BATCH_BYTES),
+                (Supplier<SigningKey>) this::key,
+                StoreAccountLog.of(store, loop, time, process),
+                time,
+                PayloadCodec.deflate(),
+                events(log));
+    }
+
+    /**
+     * Creates the account of a process; it begins to append some seconds later.
+     *
+     * @param name name of the process
+     * @param store the platform's store
+     * @param loop event loop of the process
+     * @param time clock
+     * @param log decision log
+     * @param given signing key, if the process was given one
+     */
+    public static EntryAccount start(
+            String name,
+            FleetStore store,
+            EventLoop loop,
+            TimeSource time,
+            DecisionLog log,
+            Optional<SigningKey> given) {
+        EntryAccount account = new EntryAccount(
+                Objects.requireNonNull(name, "name"),
+                Objects.requireNonNull(store, "store"),
+                Objects.requireNonNull(loop, "loop"),
+                Objects.requireNonNull(time, "time"),
+                Objects.requireNonNull(log, "log"),
+                Objects.requireNonNull(given, "given"));
+        loop.schedule(() -> account.writer.start(), FIRST_BATCH_SECONDS, TimeUnit.SECONDS);
+        return account;
+    }
+
+    @Override
+    public void write(AuditRecord record) {
+        writer.write(record);
+    }
+
+    @Override
+    public void close() {
+        writer.close();
+    }
+
+    /** Called by the writer's thread only. */
+    private SigningKey key() {
+        if (key == null) {
+            key = given.orElseGet(this::generate);
+        }
+        return key;
+    }
+
+    private SigningKey generate() {
+        SigningKey.Generated generated = SigningKey.generate();
+        TreeMap<String, String> details = new TreeMap<>();
+        details.put("id", generated.id());
+        details.put("public", generated.publicKey());
+        writer.write(new ChangeRecord(time.now(), KEY_STATED, details));
+        return SigningKey.parse(generated.secret());
+    }
+
+    private static AccountEvents events(DecisionLog log) {
+        return new AccountEvents() {
+            @Override
+            public void flushed(long first, int count, long offset) {
+                log.write(Event.ACCOUNT_FLUSHED, "first", first, "count", count);
+            }
+
+            @Override
+            public void flushFailed(long first, int count, ErrorCode code) {
+                log.write(Event.ACCOUNT_FLUSH_FAILED, "first", first, "count", count, "code", code);
+            }
+
+            @Override
+            public void dropped(String process, long boundBytes) {
+                log.write(Event.ACCOUNT_GAP, "writer", process, "bound_bytes", boundBytes);
+            }
+
+            @Override
+            public void failed(RuntimeException cause) {
+                log.write(Event.INTERNAL_ERROR, cause, "component", "account-writer");
+            }
+        };
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Rank.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Rank.java
@@ -35,6 +35,11 @@
         return customer * ROUTE_RANKS + Math.min(route, ROUTE_RANKS - 1);
     }
 
+    /** Returns the ranks of customer and route, separated by a dot. */
+    public String text() {
+        return customer + "." + route;
+    }
+
     /** Returns the urgency for an engine, from 0, which is served first, to 9. */
     public int urgency() {
         int withinCustomer = Math.min(route, URGENCIES_PER_CUSTOMER - 1);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -19,6 +19,12 @@
     /** Age after which a load report is no longer used; reports come about every 100 ms. */
     private static final Duration REPORT_LIFETIME = Duration.ofMillis(1500);
 
+    /** Age up to which a load report shows that the upstream lives; reports come at least every 600 ms. */
+    private static final Duration ALIVE_AGE = Duration.ofMillis(1000);
+
+    /** Doublings of the pause after refusals; an engine that loads refuses for one to two seconds. */
+    private static final int MAX_DOUBLINGS = 3;
+
     /** Weight of the newest outcome in the share of failures. */
     private static final double FAILURE_WEIGHT = 0.15;
 
@@ -35,6 +41,7 @@
     private double failureShare;
     private long lastByteNanos;
     private long fullUntilNanos;
+    private int refusals;
 
     private Upstream(UpstreamListing listing, long nowNanos) {
         this.listing = listing;
@@ -91,6 +98,11 @@
         return report == null ? OptionalLong.empty() : OptionalLong.of((nowNanos - reportNanos) / 1_000_000);
     }
 
+    /** Returns whether a report shows that the upstream's process lived a moment ago. */
+    public boolean seenAlive(long nowNanos) {
+        return report != null && nowNanos - reportNanos < ALIVE_AGE.toNanos();
+    }
+
     /** Returns the time since the upstream last sent a byte to this entry. */
     public Duration silence(long nowNanos) {
         return Duration.ofNanos(nowNanos - lastByteNanos);
@@ -151,6 +163,11 @@
         unreadTokens = Math.max(0, unreadTokens - promptTokens);
     }
 
+    /** Records that the upstream took a request, so that it has room again. */
+    public void took() {
+        refusals = 0;
+    }
+
     /** Records that a request no longer runs for this entry. */
     public void ended() {
         inFlight--;
@@ -164,6 +181,8 @@
     /** Records an answer that shows the upstream to work. */
     public void succeeded(long nowNanos) {
         breaker.onSuccess(nowNanos);
+        took();
+
         failureShare -= FAILURE_WEIGHT * failureShare;
     }
 
@@ -173,9 +192,13 @@
         failureShare += FAILURE_WEIGHT * (1 - failureShare);
     }
 
-    /** Records that the upstream refused a request, and avoids it for a short time. */
+    /**
+     * Records that the upstream refused a request, and avoids it for a short time, which doubles with each further
+     * refusal until it takes a request.
+     */
     public void refused(long nowNanos, Duration pause) {
-        fullUntilNanos = nowNanos + pause.toNanos();
+        fullUntilNanos = nowNanos + pause.toNanos() * (1L << Math.min(MAX_DOUBLINGS, refusals));
+        refusals++;
     }
 
     private boolean reportIsFresh(long nowNanos) {
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -22,6 +22,12 @@
     /** Predicted time for each request before one at a plain service, which states no cost model. */
     private static final double PLAIN_MILLIS_PER_SLOT = 60;
 
+    /**
+     * Reading time of prompts that one entry may leave unread at an engine. An engine reads prompts between the steps
+     * of running answers, so more of them at once make all its answers pause too long.
+     */
+    private static final double UNREAD_MILLIS = 150;
+
     private final String zone;
 
     private UpstreamChooser(String zone) {
@@ -89,7 +95,16 @@
             return upstream.load(nowNanos) < slots * LOAD_PER_SLOT_PLAIN;
         }
         int limit = request.rank().route() == 0 ? slots + QUEUED_FIRST_RANK : slots;
-        return serves(upstream, oldestVersion) && !upstream.loading(nowNanos) && upstream.load(nowNanos) < limit;
+        return serves(upstream, oldestVersion)
+                && !upstream.loading(nowNanos)
+                && upstream.load(nowNanos) < limit
+                && mayRead(request, upstream, profile.get());
+    }
+
+    /** Returns whether an engine reads a prompt soon; a single prompt may be of any size. */
+    private static boolean mayRead(Waiting request, Upstream upstream, EngineProfile profile) {
+        double unread = upstream.unreadTokens();
+        return unread == 0 || profile.readMillis(unread + request.promptTokens()) <= UNREAD_MILLIS;
     }
 
     private static boolean serves(Upstream upstream, OptionalLong oldestVersion) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -46,6 +46,12 @@
     /** Time without a byte after which one stream is taken as lost although its upstream serves others. */
     private static final Duration LOST_SILENCE = Duration.ofMillis(1600);
 
+    /**
+     * Time without a first byte after which one stream is taken as lost although its upstream lives. An engine that
+     * gets many prompts at once reads them for more than a second.
+     */
+    private static final Duration UNANSWERED_SILENCE = Duration.ofMillis(2200);
+
     /** Time before the deadline at which a stream has to begin; half of them take longer on a loaded engine. */
     private static final Duration STREAM_TIME = Duration.ofMillis(1500);
 
@@ -64,6 +70,9 @@
     private final Set<String> tried = new HashSet<>();
     private final Future<?> deadlineTimer;
     private final EventReader events;
+    private final SendHistory history = new SendHistory();
+    private final AnswerDigest digest = new AnswerDigest();
+
     private UpstreamAttempt attempt;
     private int sends;
     private int runs;
@@ -171,6 +180,7 @@
         long now = context.time().nanoTime();
         sends++;
         tried.add(upstream.id());
+        history.begun(choice);
         context.log()
                 .write(
                         Event.ROUTING_DECISION,
@@ -224,8 +234,10 @@
             return;
         }
         boolean dead = own.compareTo(DEAD_SILENCE) > 0
-                && attempt.upstream().silence(nowNanos).compareTo(DEAD_SILENCE) > 0;
-        if ((dead || own.compareTo(LOST_SILENCE) > 0) && canRepeat()) {
+                && attempt.upstream().silence(nowNanos).compareTo(DEAD_SILENCE) > 0
+                && !attempt.upstream().seenAlive(nowNanos);
+        Duration lost = attempt.answered() ? LOST_SILENCE : UNANSWERED_SILENCE;
+        if ((dead || own.compareTo(lost) > 0) && canRepeat()) {
             attempt.giveUp();
         }
     }
@@ -253,12 +265,14 @@
     }
 
     void part(ByteBuf content) {
+        digest.add(content);
+
         writer.part(content);
     }
 
     /** Completes a streamed answer. */
     void endAnswer() {
-        context.sendEnded(lastUpstream(), "");
+        sendEnded(attempt.upstream(), Verdict.RAN, "");
         close();
         writer.end();
         ended(200, Verdict.RAN, "");
@@ -266,8 +280,9 @@
 
     /** Passes a complete answer of the upstream on as it is. */
     void passOn(AnswerHead head, HttpHeaders headers, ByteBuf body) {
-        context.sendEnded(lastUpstream(), head.success() ? "" : "upstream-status-" + head.status());
+        sendEnded(attempt.upstream(), Verdict.RAN, head.success() ? "" : "upstream-status-" + head.status());
         close();
+        digest.add(body);
         writer.whole(head.status(), headers, body);
         ended(head.status(), Verdict.RAN, head.success() ? "" : "upstream-status");
     }
@@ -283,7 +298,7 @@
     void attemptFailed(Upstream upstream, Verdict verdict, String reason, boolean wasFull) {
         long now = context.time().nanoTime();
         attempt = null;
-        context.sendEnded(upstream.id(), reason);
+        sendEnded(upstream, verdict, reason);
         if (verdict == Verdict.NOT_RUN) {
             upstream.refused(now, wasFull ? FULL_PAUSE : MISMATCH_PAUSE);
         } else {
@@ -341,12 +356,7 @@
             return;
         }
         boolean sent = attempt != null && attempt.sent();
-        if (attempt != null) {
-            attempt.cancel();
-            attempt = null;
-        } else {
-            context.dequeue(this, service);
-        }
+        leaveUpstream(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "deadline");
         if (answering) {
             close();
             writer.abort();
@@ -362,16 +372,27 @@
         if (done) {
             return;
         }
-        if (attempt != null) {
-            attempt.cancel();
-            attempt = null;
-        } else {
-            context.dequeue(this, service);
-        }
+        leaveUpstream(Verdict.MAY_HAVE_RUN, "caller-left");
         close();
         ended(0, sends > 0 ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "caller-left");
     }
 
+    /** Cancels the open send, or leaves the queue if there is none. */
+    private void leaveUpstream(Verdict verdict, String reason) {
+        if (attempt == null) {
+            context.dequeue(this, service);
+            return;
+        }
+        sendEnded(attempt.upstream(), verdict, reason);
+        attempt.cancel();
+        attempt = null;
+    }
+
+    private void sendEnded(Upstream upstream, Verdict verdict, String reason) {
+        history.ended(verdict, reason);
+        context.sendEnded(upstream.id(), reason);
+    }
+
     private void finish(int status, Verdict verdict, String reason, Optional<Duration> retryAfter) {
         close();
         HttpHeaders headers = new DefaultHttpHeaders();
@@ -386,7 +407,9 @@
     }
 
     private void ended(int status, Verdict verdict, String reason) {
-        context.ended(this, new ExchangeEnd(status, verdict, reason, sends, answering, lastUpstream()));
+        context.ended(
+                this,
+                new ExchangeEnd(status, verdict, reason, answering, lastUpstream(), digest.hex(), history.traces()));
     }
 
     private String lastUpstream() {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeEnd.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeEnd.java
@@ -1,6 +1,8 @@
 package org.masticcroft.gateway.exchange;
 
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.masticcroft.kernel.verdict.Verdict;
 
 /**
@@ -9,14 +11,24 @@
  * @param status HTTP status that the caller received; 0 if its connection was closed
  * @param verdict whether the request may have run
  * @param reason reason of a failure; empty for an answer that was passed on
- * @param sends times that the request was sent to an upstream
+ *
  * @param answered whether a streamed answer was started
  * @param upstream id of the upstream that answered; empty if none did
+ * @param answerDigest SHA-256 of the answer in hex, if any was passed on
+ * @param sends all sends to upstreams in order
  */
-public record ExchangeEnd(int status, Verdict verdict, String reason, int sends, boolean answered, String upstream) {
+public record ExchangeEnd(
+        int status,
+        Verdict verdict,
+        String reason,
+        boolean answered,
+        String upstream,
+        Optional<String> answerDigest,
+        List<SendTrace> sends) {
     public ExchangeEnd {
         Objects.requireNonNull(verdict, "verdict");
         Objects.requireNonNull(reason, "reason");
         Objects.requireNonNull(upstream, "upstream");
+        sends = List.copyOf(sends);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -68,6 +68,10 @@
         return context.time().since(startNanos);
     }
 
+    boolean answered() {
+        return firstByte;
+    }
+
     Duration silence(long nowNanos) {
         return Duration.ofNanos(nowNanos - lastByteNanos);
     }
@@ -116,6 +120,7 @@
             return;
         }
         markFirstByte();
+        upstream.took();
         if (!exchange.answering()) {
             exchange.startAnswer(head.status(), headers);
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
@@ -26,4 +26,7 @@
      * @param reply receives true if the store acknowledged the record
      */
     void keepAccount(String key, byte[] data, Consumer<Boolean> reply);
+
+    /** Reads all records of the account in the order in which they were kept. */
+    void readAccount(Consumer<KeptRecords> reply);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -14,6 +14,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.masticcroft.gateway.account.AccountedRequest;
+import org.masticcroft.gateway.account.RequestAccount;
 import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
@@ -47,6 +49,7 @@
 import org.masticcroft.kernel.retry.RetryBudget;
 import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.kernel.verdict.Verdict;
 
 /** An entry: takes the requests of callers and passes each one to an upstream. Runs on one event loop. */
 public final class EntryNode implements ExchangeContext, Node {
@@ -75,6 +78,7 @@
     private final Dialect dialect;
     private final DecisionLog log;
     private final HttpCaller caller;
+    private final RequestAccount account;
     private final ProcessMetrics metrics;
     private final RequestMetrics requestMetrics;
     private final FleetDatagrams datagrams;
@@ -106,12 +110,13 @@
         this.log = parts.log();
         this.caller = parts.caller();
         this.random = parts.random();
+        this.account = parts.account();
         this.metrics = ProcessMetrics.empty();
         this.requestMetrics = RequestMetrics.of(metrics);
         this.upstreams = UpstreamTable.of(log);
         this.weights = NamedWeights.none(time);
         this.contact = StoreContact.none(time);
-        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, this::weightsNamed);
+        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, this::weightsNamed, account);
         this.confirmation = new Confirmation(contact, settings.bounds().revocation());
         this.datagrams =
                 new FleetDatagrams(settings, time, DatagramPort.of(loop, log), fleet, upstreams, weights, suspects);
@@ -283,6 +288,21 @@
         open.remove(exchange);
         long millis = millisSince(exchange.arrivalNanos());
         requestMetrics.ended(exchange.route().kind(), end.status(), end.verdict(), end.reason(), millis);
+        account.ended(new AccountedRequest(
+                exchange.id(),
+                exchange.customer(),
+                exchange.rank().text(),
+                exchange.service(),
+                profile(exchange.service()).map(EngineProfile::model),
+                Duration.ofMillis(millis),
+                configVersion(),
+                contact.age(),
+                end.status(),
+                end.verdict(),
+                end.reason(),
+                exchange.request().body(),
+                end.answerDigest(),
+                end.sends()));
         log.write(
                 Event.REQUEST_FINISHED,
                 "request",
@@ -300,7 +320,7 @@
                 "upstream",
                 end.upstream(),
                 "sends",
-                end.sends(),
+                end.sends().size(),
                 "ms",
                 millis,
                 "config",
@@ -321,6 +341,21 @@
     @Override
     public void refused(CallerRequest request, int status, String reason) {
         requestMetrics.refused(status, reason);
+        account.ended(new AccountedRequest(
+                request.attemptId(),
+                "",
+                "",
+                "",
+                Optional.empty(),
+                Duration.ZERO,
+                configVersion(),
+                contact.age(),
+                status,
+                Verdict.NOT_RUN,
+                reason,
+                request.body(),
+                Optional.empty(),
+                List.of()));
         log.write(
                 Event.REQUEST_REFUSED,
                 "request",
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.masticcroft.gateway.account.RequestAccount;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.UpstreamService;
@@ -32,6 +34,7 @@
     private final StoreContact contact;
     private final DecisionLog log;
     private final Consumer<String> weightsNamed;
+    private final RequestAccount account;
     private final List<String> heldRemovals = new ArrayList<>();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsRead;
@@ -45,13 +48,15 @@
             NamedWeights weights,
             StoreContact contact,
             DecisionLog log,
-            Consumer<String> weightsNamed) {
+            Consumer<String> weightsNamed,
+            RequestAccount account) {
         this.time = time;
         this.upstreams = upstreams;
         this.weights = weights;
         this.contact = contact;
         this.log = log;
         this.weightsNamed = weightsNamed;
+        this.account = account;
     }
 
     static FleetState empty(
@@ -60,8 +65,9 @@
             NamedWeights weights,
             StoreContact contact,
             DecisionLog log,
-            Consumer<String> weightsNamed) {
-        return new FleetState(time, upstreams, weights, contact, log, weightsNamed);
+            Consumer<String> weightsNamed,
+            RequestAccount account) {
+        return new FleetState(time, upstreams, weights, contact, log, weightsNamed, account);
     }
 
     Optional<GatewayConfig> config() {
@@ -137,13 +143,7 @@
         if (change instanceof FleetChange.ConfigPublished published) {
             applyConfig(published.config());
         } else if (change instanceof FleetChange.WeightsNamed named) {
-            boolean newer = operatorRead
-                    ? weights.named(named.model(), named.version())
-                    : weights.namedBeforeStart(named.model(), named.version());
-            if (newer) {
-                log.write(Event.WEIGHTS_NAMED, "model", named.model(), "version", named.version());
-                weightsNamed.accept(named.model());
-            }
+            weightsNamed(named.model(), named.version());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
             heldRemovals.remove(listed.listing().id());
             upstreams.listed(listed.listing(), now);
@@ -158,12 +158,27 @@
         }
     }
 
+    /** Applies a named version that another process told of. */
+    void named(String model, long version) {
+        weightsNamed(model, version);
+    }
+
+    private void weightsNamed(String model, long version) {
+        boolean newer = operatorRead ? weights.named(model, version) : weights.namedBeforeStart(model, version);
+        if (newer) {
+            account.changed("weights-named", Map.of("model", model, "version", Long.toString(version)));
+            log.write(Event.WEIGHTS_NAMED, "model", model, "version", version);
+            weightsNamed.accept(model);
+        }
+    }
+
     private void applyConfig(GatewayConfig published) {
         long current = config.map(GatewayConfig::version).orElse(-1L);
         if (published.version() <= current) {
             return;
         }
         config = Optional.of(published);
+        account.changed("config-applied", Map.of("version", Long.toString(published.version())));
         log.write(Event.CONFIG_APPLIED, "version", published.version(), "previous", current);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeParts.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeParts.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Random;
+import org.masticcroft.gateway.account.RequestAccount;
 import org.masticcroft.gateway.fleet.FleetStore;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpCaller;
@@ -18,6 +19,7 @@
  * @param caller HTTP client
  * @param store the platform's store
  * @param dialect translation of the headers of requests
+ * @param account where an entry accounts for its requests
  */
 public record NodeParts(
         TimeSource time,
@@ -26,4 +28,5 @@
         DecisionLog log,
         HttpCaller caller,
         FleetStore store,
-        Dialect dialect) {}
+        Dialect dialect,
+        RequestAccount account) {}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -42,6 +42,9 @@
     /** Pause between two reads of the engine's report, which stay on the machine. */
     private static final long REPORT_MILLIS = 200;
 
+    /** Pause between two reads while the engine loads; entries wait for its end, and a load takes some 300 ms. */
+    private static final long LOADING_REPORT_MILLIS = 50;
+
     /** Time after which an entry that no longer subscribes gets no reports. */
     private static final Duration SUBSCRIPTION_LIFETIME = Duration.ofMillis(3500);
 
@@ -97,7 +100,7 @@
         this.datagrams = DatagramPort.of(loop, log);
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
-        this.keeper = WeightsKeeper.of(settings, parts, engine, sources, metrics);
+        this.keeper = WeightsKeeper.of(settings, parts, engine, sources, metrics, this::stateAtOnce);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handOut);
     }
 
@@ -188,6 +191,9 @@
 
     private void reported(EngineReport report) {
         keeper.reported(report);
+        if (report.busy()) {
+            loop.schedule(this::readReport, LOADING_REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        }
         long now = time.nanoTime();
         subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
         int stated = Objects.hash(report.running(), report.queued(), report.busy(), report.loadedVersion());
@@ -204,6 +210,9 @@
                 .setQueued(report.queued())
                 .setLoading(report.busy())
                 .setServedVersion(report.loadedVersion().orElse(0));
+        keeper.named()
+                .ifPresent(named -> load.addNamed(
+                        NamedWeights.newBuilder().setModel(named.model()).setVersion(named.version())));
         suspicions.forEach((entry, fingerprints) -> {
             if (!fingerprints.isEmpty()) {
                 load.addSuspicions(Suspicion.newBuilder().setEntry(entry.ip()).addAllFingerprints(fingerprints));
@@ -213,6 +222,14 @@
         subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
     }
 
+    /** Tells all machines of a manifest that was just found; those far from the origin get it here. */
+    private void stateAtOnce() {
+        keeper.statement(uploads.free()).ifPresent(held -> {
+            Datagram datagram = Datagram.newBuilder().setHeld(held).build();
+            keeper.others().forEach(ip -> datagrams.send(new Address(ip, settings.peerPort()), datagram));
+        });
+    }
+
     /** States the held pieces to the own region, and less often to the machines elsewhere. */
     private void statePieces() {
         Optional<HeldPieces> held = keeper.statement(uploads.free());
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
@@ -19,16 +19,18 @@
     private final DecisionLog log;
     private final Deque<Integer> toStage = new ArrayDeque<>();
     private final Deque<Integer> toCheck = new ArrayDeque<>();
+    private final Runnable whenStaged;
     private Runnable whenChecked = () -> {};
     private int calls;
     private boolean checking;
     private boolean abandoned;
     private int staged;
 
-    EngineStaging(OwnEngine engine, Stock stock, DecisionLog log) {
+    EngineStaging(OwnEngine engine, Stock stock, DecisionLog log, Runnable whenStaged) {
         this.engine = engine;
         this.stock = stock;
         this.log = log;
+        this.whenStaged = whenStaged;
     }
 
     /** Stages a verified piece. */
@@ -85,6 +87,9 @@
             toCheck.addLast(piece);
         } else {
             staged++;
+            if (complete() && !abandoned) {
+                whenStaged.run();
+            }
         }
         pump();
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -106,6 +106,24 @@
         return peers;
     }
 
+    /**
+     * Returns the peers that stated pieces of a version and so have its manifest; those of the region, if there are
+     * any.
+     */
+    List<String> stating(String model, long version, Region region) {
+        List<String> near = new ArrayList<>();
+        List<String> all = new ArrayList<>();
+        statements.forEach((ip, statement) -> {
+            if (statement.of(model, version) && time.since(statement.nanos()).compareTo(STATEMENT_LIFETIME) < 0) {
+                all.add(ip);
+                if (isIn(ip, region.regions(), region.name())) {
+                    near.add(ip);
+                }
+            }
+        });
+        return near.isEmpty() ? all : near;
+    }
+
     /** Returns whether a machine is in a region. */
     boolean isIn(String ip, Map<String, String> regions, String region) {
         UpstreamListing listing = byIp.get(ip);
@@ -121,6 +139,14 @@
                         && statement.bitmap().cardinality() < pieces);
     }
 
+    /**
+     * A region.
+     *
+     * @param name its name
+     * @param regions region of each data centre
+     */
+    record Region(String name, Map<String, String> regions) {}
+
     private record Statement(HeldPieces held, BitSet bitmap, long nanos) {
         private boolean of(String model, long version) {
             return held.getModel().equals(model) && held.getVersion() == version;
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Stock.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Stock.java
@@ -44,6 +44,15 @@
         return true;
     }
 
+    /** Returns a stock of the same version under another manifest, with the pieces that it confirms. */
+    Stock under(Manifest other) {
+        Stock stock = Stock.of(other);
+        for (int piece = held.nextSetBit(0); piece >= 0 && piece < other.pieces(); piece = held.nextSetBit(piece + 1)) {
+            stock.add(piece, pieces[piece]);
+        }
+        return stock;
+    }
+
     boolean isFor(String model, long version) {
         return manifest.version() == version && manifest.model().equals(model);
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
@@ -18,14 +18,14 @@
 
 /** Collects the pieces of one version of weights from the origin and from other sidecars. */
 final class WeightsFetch {
-    /** Transfers at a time; each one is short, and several keep the own link busy over the round trips. */
-    private static final int MAX_TRANSFERS = 5;
+    /** Transfers from peers at a time; each one is short, and several keep the own link busy over the round trips. */
+    private static final int MAX_PEER_TRANSFERS = 4;
 
     /** Transfers from the origin at a time; it accepts a few dozen connections from the whole fleet. */
     private static final int MAX_ORIGIN_TRANSFERS = 3;
 
-    /** Time for which the origin is avoided after it failed; a crashed one is back after some seconds. */
-    private static final Duration ORIGIN_SET_BACK = Duration.ofMillis(700);
+    /** Pause between two tries while the origin fails; a crashed one is back after some seconds. */
+    private static final Duration ORIGIN_SET_BACK = Duration.ofMillis(300);
 
     private final Stock stock;
     private final Place place;
@@ -74,7 +74,7 @@
 
     /** Starts transfers as long as there is something useful to fetch. */
     void pump() {
-        while (!abandoned && !stock.complete() && inProgress.size() < MAX_TRANSFERS) {
+        while (!abandoned && !stock.complete()) {
             Optional<Fetch> next = planner.next(view(), random);
             if (next.isEmpty()) {
                 return;
@@ -128,6 +128,9 @@
         if (abandoned || stock.held().get(fetch.chunk())) {
             return;
         }
+        if (peer.isEmpty() && data.isPresent()) {
+            originSetBack = false;
+        }
         if (data.isPresent() && stock.add(fetch.chunk(), data.get())) {
             progressNanos = time.nanoTime();
             listener.fetched(fetch.chunk(), peer.isEmpty() ? FetchListener.ORIGIN : peer);
@@ -158,8 +161,22 @@
         }
     }
 
+    /** Returns a peer that is not asked now; what it holds still counts as present in its region. */
+    private static FetchView.Peer withoutRoom(FetchView.Peer peer) {
+        return new FetchView.Peer(peer.instance(), peer.sameRegion(), peer.chunks(), 0, peer.suspectedUntilMillis());
+    }
+
+    /** Returns whether the origin may be asked for another piece; while it fails, one call at a time tries it. */
+    private boolean originHasRoom() {
+        return originSetBack
+                ? originTransfers == 0 && time.since(originSetBackNanos).compareTo(ORIGIN_SET_BACK) >= 0
+                : originTransfers < MAX_ORIGIN_TRANSFERS;
+    }
+
     private FetchView view() {
         long sinceStart = time.since(startNanos).toMillis();
+        // Transfers from peers must not take the place of those from the origin, whose link is the narrowest.
+        boolean peersHaveRoom = inProgress.size() - originTransfers < MAX_PEER_TRANSFERS;
         List<FetchView.Peer> holders = peers
                 .holders(
                         stock.manifest().model(),
@@ -168,9 +185,8 @@
                         place.region(),
                         sinceStart)
                 .stream()
-                .filter(peer -> !busyPeers.contains(peer.instance()))
+                .map(peer -> peersHaveRoom && !busyPeers.contains(peer.instance()) ? peer : withoutRoom(peer))
                 .toList();
-        boolean avoidOrigin = originSetBack && time.since(originSetBackNanos).compareTo(ORIGIN_SET_BACK) < 0;
         return new FetchView(
                 place.ownIp(),
                 stock.manifest().pieces(),
@@ -180,7 +196,7 @@
                 holders,
                 sinceStart,
                 time.since(progressNanos).toMillis(),
-                new FetchView.Store(place.originIsNear(), avoidOrigin ? sinceStart + 1 : 0));
+                new FetchView.Store(place.originIsNear(), originHasRoom() ? 0 : sinceStart + 1));
     }
 
     /**
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -2,7 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -34,8 +36,8 @@
     /** Share of pieces from which a version is completed although a newer one was named. */
     private static final double NEARLY_COMPLETE = 0.5;
 
-    /** Pause before a manifest is asked for again. */
-    private static final Duration MANIFEST_PAUSE = Duration.ofMillis(400);
+    /** Copies of one piece with a wrong digest after which the manifest itself is asked for again. */
+    private static final int WRONG_DIGESTS_TO_DOUBT = 3;
 
     /** Time for which an order that has not shown in a report is not repeated. */
     private static final Duration ORDER_PAUSE = Duration.ofMillis(600);
@@ -43,9 +45,14 @@
     /** Pieces that a region fetches from outside at a time; a piece takes 27 ms of the origin's link. */
     private static final int OUTSIDE_WINDOW = 32;
 
-    /** Time without progress after which the next sidecar of a region fetches a piece from outside. */
+    /**
+     * Times without progress, in milliseconds: 800 and 500 more for each further sidecar until the next one takes a
+     * piece over, because a dead machine must not hold up its region; 3500 until another region draws from the origin,
+     * because a crashed origin delays all regions alike and each further copy costs its link; 1500 if the region of
+     * the origin states nothing.
+     */
     private static final RegionalSwarmPlanner.Patience PATIENCE =
-            new RegionalSwarmPlanner.Patience(OUTSIDE_WINDOW, 600, 300, 1500);
+            new RegionalSwarmPlanner.Patience(OUTSIDE_WINDOW, 800, 500, 3500, 1500);
 
     private final NodeSettings settings;
     private final TimeSource time;
@@ -64,16 +71,22 @@
     private Optional<Stock> stock = Optional.empty();
     private Optional<WeightsFetch> fetch = Optional.empty();
     private Optional<EngineStaging> staging = Optional.empty();
-    private boolean askingManifest;
-    private long askedNanos;
-    private boolean asked;
     private boolean filling;
     private boolean ordered;
     private long orderedNanos;
-    private int manifestTurn;
+    private final ManifestSearch manifests;
+    private final Runnable stocked;
+    private final LoadTurn turn;
+
+    private final Map<Integer, Integer> wrongDigests = new HashMap<>();
 
     private WeightsKeeper(
-            NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources, ProcessMetrics metrics) {
+            NodeSettings settings,
+            NodeParts parts,
+            OwnEngine engine,
+            WeightsSources sources,
+            ProcessMetrics metrics,
+            Runnable stocked) {
         this.settings = settings;
         this.time = parts.time();
         this.log = parts.log();
@@ -81,6 +94,10 @@
         this.sources = sources;
         this.peers = Peers.of(time, settings.ip());
         this.random = new SplitMix64(parts.random().nextLong());
+        this.stocked = stocked;
+        this.turn = new LoadTurn(time, settings.ip(), settings.bounds().versionChange());
+
+        this.manifests = new ManifestSearch(time, log, sources, peers, random, settings.peerPort());
         this.weightsMetrics = WeightsMetrics.of(metrics);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newest);
         metrics.gauge(
@@ -93,10 +110,24 @@
                 () -> stock.map(own -> own.held().cardinality()).orElse(0));
     }
 
-    /** Creates a keeper for the engine of the own machine. */
+    /**
+     * Creates a keeper for the engine of the own machine.
+     *
+     * @param settings settings of the process
+     * @param parts what the process is built from
+     * @param engine the engine
+     * @param sources sources of weights
+     * @param metrics metrics of the process
+     * @param stocked called when the manifest of a version was found, so that others can be told
+     */
     public static WeightsKeeper of(
-            NodeSettings settings, NodeParts parts, OwnEngine engine, WeightsSources sources, ProcessMetrics metrics) {
-        return new WeightsKeeper(settings, parts, engine, sources, metrics);
+            NodeSettings settings,
+            NodeParts parts,
+            OwnEngine engine,
+            WeightsSources sources,
+            ProcessMetrics metrics,
+            Runnable stocked) {
+        return new WeightsKeeper(settings, parts, engine, sources, metrics, stocked);
     }
 
     /** Applies a version of the configuration. */
@@ -112,10 +143,16 @@
         if (namedModel.equals(model) && version > newest) {
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newest);
             newest = version;
+            turn.named();
             tick();
         }
     }
 
+    /** Returns the newest version that was named; empty if none was. */
+    public Optional<FleetChange.WeightsNamed> named() {
+        return newest > FIRST_VERSION ? Optional.of(new FleetChange.WeightsNamed(model, newest)) : Optional.empty();
+    }
+
     /** Applies a list of upstreams that was read as a whole. */
     public void listed(List<FleetChange> changes, String service) {
         peers.listed(changes, service);
@@ -258,8 +295,10 @@
         fetch = Optional.empty();
         staging.ifPresent(EngineStaging::abandon);
         staging = Optional.empty();
-        asked = false;
         ordered = false;
+        wrongDigests.clear();
+        manifests.start(model, target);
+        turn.restart();
     }
 
     private boolean loaded(long version) {
@@ -269,31 +308,45 @@
     }
 
     private void askManifest() {
-        if (askingManifest || (asked && time.since(askedNanos).compareTo(MANIFEST_PAUSE) < 0)) {
-            return;
-        }
-        askingManifest = true;
-        asked = true;
-        askedNanos = time.nanoTime();
-        long version = target;
-        List<String> others = peers.others();
-        boolean fromPeer = manifestTurn++ % 2 == 1 && !others.isEmpty();
-        if (fromPeer) {
-            Address peer = new Address(others.get(random.nextInt(others.size())), settings.peerPort());
-            sources.manifestFromPeer(peer, model, version, found -> manifestReceived(version, found));
-        } else {
-            sources.manifestFromOrigin(
-                    config.get().origin().orElseThrow(), model, version, found -> manifestReceived(version, found));
+        String region = settings.regionOf(settings.zone());
+        manifests.ask(
+                config.get().origin().orElseThrow(),
+                originIsNear(),
+                new Peers.Region(region, settings.regions()),
+                this::manifestFound);
+    }
+
+    private boolean originIsNear() {
+        return settings.regionOf(settings.zone())
+                .equals(settings.regionOf(config.get().originZone()));
+    }
+
+    private void manifestFound(Manifest manifest) {
+        if (stock.isEmpty()) {
+            stock = Optional.of(Stock.of(manifest));
+            stocked.run();
+        } else if (!stock.get().manifest().equals(manifest)) {
+            replaceManifest(manifest);
         }
+        wrongDigests.clear();
+        tick();
     }
 
-    private void manifestReceived(long version, Optional<Manifest> found) {
-        askingManifest = false;
-        if (found.isEmpty()) {
-            log.write(Event.MANIFEST_UNAVAILABLE, "model", model, "version", version);
-        } else if (version == target && stock.isEmpty()) {
-            stock = Optional.of(Stock.of(found.get()));
-            tick();
+    /** Goes on with another manifest of the same version; the pieces that it confirms stay. */
+    private void replaceManifest(Manifest manifest) {
+        stock = Optional.of(stock.get().under(manifest));
+        fetch.ifPresent(WeightsFetch::abandon);
+        fetch = Optional.empty();
+        staging.ifPresent(EngineStaging::abandon);
+        staging = Optional.empty();
+    }
+
+    /** Doubts the manifest when several copies of one piece differ from it, because one digest may be corrupt. */
+    private void wrongDigest(int piece) {
+        if (wrongDigests.merge(piece, 1, Integer::sum) >= WRONG_DIGESTS_TO_DOUBT) {
+            wrongDigests.clear();
+            manifests.doubt();
+            askManifest();
         }
     }
 
@@ -302,10 +355,9 @@
             return;
         }
         Stock own = stock.get();
-        EngineStaging area = new EngineStaging(engine, own, log);
+        EngineStaging area = new EngineStaging(engine, own, log, this::order);
         staging = Optional.of(area);
         String region = settings.regionOf(settings.zone());
-        boolean near = region.equals(settings.regionOf(config.get().originZone()));
         fetch = Optional.of(new WeightsFetch(
                 own,
                 new WeightsFetch.Place(
@@ -314,7 +366,7 @@
                         region,
                         settings.regions(),
                         config.get().origin().orElseThrow(),
-                        near),
+                        originIsNear()),
                 planner,
                 peers,
                 sources,
@@ -331,6 +383,9 @@
                     @Override
                     public void failed(int piece, String source, boolean corrupt) {
                         weightsMetrics.failed(source.equals(ORIGIN), corrupt);
+                        if (corrupt) {
+                            wrongDigest(piece);
+                        }
                     }
                 }));
         log.write(
@@ -377,13 +432,18 @@
         if (ordered && time.since(orderedNanos).compareTo(ORDER_PAUSE) < 0) {
             return;
         }
-        if (area.checking() || !area.complete()) {
+        if (area.checking() || !area.complete() || !turn.has(servesOlder(), peers.others())) {
             return;
         }
         long version = target;
         area.check(() -> giveOrder(version));
     }
 
+    private boolean servesOlder() {
+        return report.get().loadedVersion().isPresent()
+                && report.get().loadedVersion().getAsLong() < target;
+    }
+
     private void giveOrder(long version) {
         if (version != target || report.get().busy()) {
             return;
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -36,13 +36,18 @@
     }
 
     private void list(String id, String ip, String zone, long version, boolean leaving) {
+        list(id, ip, zone, version, leaving, SLOTS);
+    }
+
+    private void list(String id, String ip, String zone, long version, boolean leaving, int slots) {
+
         table.listed(
                 new UpstreamListing(
                         id,
                         "s",
                         new Address(ip, 80),
                         zone,
-                        SLOTS,
+                        slots,
                         leaving,
                         1,
                         version > 0 ? OptionalLong.of(version) : OptionalLong.empty()),
@@ -182,6 +187,22 @@
                     .isEqualTo("new");
         }
 
+        // Guards against prompts that make all running answers of an engine pause while it reads them.
+        @Test
+        void leavesFewPromptsUnreadAtOneEngine() {
+            list("e1", "10.0.0.1", "z1", 1, false, 16);
+            FakeRequest first = add("a", 1);
+            for (int i = 0; i < 10; i++) {
+                add("r" + i, 1);
+            }
+            Upstream engine = first.choice.orElseThrow().upstream();
+            assertThat(PROFILE.orElseThrow().readMillis(engine.unreadTokens())).isLessThanOrEqualTo(150);
+            assertThat(engine.inFlight()).isBetween(2, 4);
+            engine.firstByte(10_000);
+            queue.serve(PROFILE, OptionalLong.empty());
+            assertThat(engine.inFlight()).isGreaterThan(4);
+        }
+
         // Guards against an engine that several entries fill at the same time.
         @Test
         void countsTheRequestsOfOtherEntries() {
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -21,7 +21,7 @@
     static final int OUTSIDE_WINDOW = 8;
 
     /** Patience for weights of many gigabytes, whose chunks take seconds. */
-    static final Patience DEFAULT_PATIENCE = new Patience(OUTSIDE_WINDOW, 10_000, 2_000, 20_000);
+    static final Patience DEFAULT_PATIENCE = new Patience(OUTSIDE_WINDOW, 10_000, 2_000, 20_000, 20_000);
 
     private final Patience patience;
 
@@ -104,7 +104,9 @@
         if (!otherRegions.isEmpty()) {
             return Optional.of(fromPeer(chunk, otherRegions, random, "owner-from-region"));
         }
-        return storeUsable && view.lastProgressMillis() >= patience.storeFallbackMillis()
+        boolean othersFetch = view.peers().stream().anyMatch(peer -> !peer.sameRegion());
+        long fallback = othersFetch ? patience.storeFallbackMillis() : patience.aloneFallbackMillis();
+        return storeUsable && view.lastProgressMillis() >= fallback
                 ? Optional.of(new Fetch(chunk, new Fetch.Source.Store(), "store-fallback"))
                 : Optional.empty();
     }
@@ -147,7 +149,12 @@
      * @param takeoverStepMillis further time without progress for each further place in the order
      * @param storeFallbackMillis time without progress after which a region that waits for another one draws from the
      *     store
+     * @param aloneFallbackMillis the same while no machine of another region has stated anything of the version
      */
     public record Patience(
-            int outsideWindow, long firstTakeoverMillis, long takeoverStepMillis, long storeFallbackMillis) {}
+            int outsideWindow,
+            long firstTakeoverMillis,
+            long takeoverStepMillis,
+            long storeFallbackMillis,
+            long aloneFallbackMillis) {}
 }
--- a/ports/src/test/java/org/masticcroft/ports/engine/UpstreamClientTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/engine/UpstreamClientTest.java
@@ -97,8 +97,8 @@
     @Nested
     class Verdicts {
         /**
-         * Guards against calling a request possibly run that no upstream has seen. The port was never accepted on: while
-         * a thread waits in accept, the system keeps a closed port open until that thread has woken up.
+         * Guards against calling a request possibly run that no upstream has seen. The port was never accepted on:
+         * while a thread waits in accept, the system keeps a closed port open until that thread has woken up.
          */
         @Test
         void refusedConnectionIsNotRun() throws IOException {
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformOriginStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformOriginStandIn.java
@@ -19,7 +19,9 @@
     private final int pieces;
     private final AtomicInteger sent = new AtomicInteger();
     private volatile boolean down;
+    private final AtomicInteger manifests = new AtomicInteger();
     private volatile int spoiledPiece = -1;
+    private volatile int spoiledManifests;
 
     private PlatformOriginStandIn(int pieces) {
         this.pieces = pieces;
@@ -44,6 +46,16 @@
         return sent.get();
     }
 
+    /** Returns the number of manifests sent so far. */
+    public int manifestsSent() {
+        return manifests.get();
+    }
+
+    /** States a wrong digest of the first piece in the next manifests. */
+    public void spoilManifests(int count) {
+        spoiledManifests = count;
+    }
+
     /** Drops all calls, or answers them again. */
     public void setDown(boolean isDown) {
         down = isDown;
@@ -74,8 +86,10 @@
         long version = call.queryNumber("version", 1);
         ObjectNode manifest = Json.object().put("model", call.path("model")).put("version", version);
         manifest.putArray("digests");
+        boolean spoiled = manifests.incrementAndGet() <= spoiledManifests;
         for (int i = 0; i < pieces; i++) {
-            manifest.withArray("digests").add(Sha256.hex(pieceOf(version, i)));
+            byte[] digested = i == 0 && spoiled ? new byte[1] : pieceOf(version, i);
+            manifest.withArray("digests").add(Sha256.hex(digested));
         }
         call.respond(200, manifest);
     }
