--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -40,24 +40,9 @@
     /** Time an upstream is avoided after another process or other weights were found at its address. */
     private static final Duration MISMATCH_PAUSE = Duration.ofMillis(250);
 
-    /** Silence after which an upstream that owes an answer is taken as dead; its events come every 50 to 200 ms. */
-    private static final Duration DEAD_SILENCE = Duration.ofMillis(900);
-
-    /** Time without a byte after which one stream is taken as lost although its upstream serves others. */
-    private static final Duration LOST_SILENCE = Duration.ofMillis(1600);
-
-    /**
-     * Time without a first byte after which one stream is taken as lost although its upstream lives. An engine that
-     * gets many prompts at once reads them for more than a second.
-     */
-    private static final Duration UNANSWERED_SILENCE = Duration.ofMillis(2200);
-
     /** Time before the deadline at which a stream has to begin; half of them take longer on a loaded engine. */
     private static final Duration STREAM_TIME = Duration.ofMillis(1500);
 
-    /** Shortest time without an answer after which an idempotent request is sent to another upstream. */
-    private static final Duration PLAIN_SILENCE = Duration.ofMillis(350);
-
     private final ExchangeContext context;
     private final CallerRequest request;
     private final Route route;
@@ -225,19 +210,7 @@
         if (done || attempt == null || !route.repeatable()) {
             return;
         }
-        Duration own = attempt.silence(nowNanos);
-        if (route.kind() == RouteKind.IDEMPOTENT) {
-            Duration limit = route.target().compareTo(PLAIN_SILENCE) > 0 ? route.target() : PLAIN_SILENCE;
-            if (own.compareTo(limit) > 0 && canRepeat()) {
-                attempt.giveUp();
-            }
-            return;
-        }
-        boolean dead = own.compareTo(DEAD_SILENCE) > 0
-                && attempt.upstream().silence(nowNanos).compareTo(DEAD_SILENCE) > 0
-                && !attempt.upstream().seenAlive(nowNanos);
-        Duration lost = attempt.answered() ? LOST_SILENCE : UNANSWERED_SILENCE;
-        if ((dead || own.compareTo(lost) > 0) && canRepeat()) {
+        if (SilenceRule.isLost(route, attempt, nowNanos) && canRepeat()) {
             attempt.giveUp();
         }
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
@@ -22,6 +22,7 @@
     /** Longest time that closing waits for the last lines. */
     private static final long CLOSE_MILLIS = 500;
 
+    private final int capacity;
     private final ArrayBlockingQueue<String> lines;
     private final AtomicLong dropped = new AtomicLong();
     private final TimeSource time;
@@ -32,6 +33,7 @@
     private DecisionLog(TimeSource time, PrintStream out, int capacity) {
         this.time = time;
         this.out = out;
+        this.capacity = capacity;
         this.lines = new ArrayBlockingQueue<>(capacity);
         this.writer = new Thread(this::writeAll, "log-writer");
         this.writer.setDaemon(true);
@@ -104,12 +106,16 @@
                 closed = true;
             }
         }
-        writeBatch(lines.poll());
+        do {
+            writeBatch(lines.poll());
+        } while (!lines.isEmpty());
     }
 
     private void writeBatch(String first) {
         StringBuilder batch = new StringBuilder();
-        for (String line = first; line != null; line = lines.poll()) {
+        int taken = 0;
+        // Without the limit a batch grows as long as lines arrive as fast as they are taken.
+        for (String line = first; line != null; line = ++taken < capacity ? lines.poll() : null) {
             batch.append(line).append('\n');
         }
         long missing = dropped.getAndSet(0);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -14,8 +14,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.masticcroft.gateway.account.AccountedRequest;
-import org.masticcroft.gateway.account.RequestAccount;
 import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
@@ -49,7 +47,6 @@
 import org.masticcroft.kernel.retry.RetryBudget;
 import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.TimeSource;
-import org.masticcroft.kernel.verdict.Verdict;
 
 /** An entry: takes the requests of callers and passes each one to an upstream. Runs on one event loop. */
 public final class EntryNode implements ExchangeContext, Node {
@@ -78,9 +75,8 @@
     private final Dialect dialect;
     private final DecisionLog log;
     private final HttpCaller caller;
-    private final RequestAccount account;
     private final ProcessMetrics metrics;
-    private final RequestMetrics requestMetrics;
+    private final RequestRecords records;
     private final FleetDatagrams datagrams;
     private final UpstreamTable upstreams;
     private final NamedWeights weights;
@@ -110,13 +106,12 @@
         this.log = parts.log();
         this.caller = parts.caller();
         this.random = parts.random();
-        this.account = parts.account();
         this.metrics = ProcessMetrics.empty();
-        this.requestMetrics = RequestMetrics.of(metrics);
         this.upstreams = UpstreamTable.of(log);
         this.weights = NamedWeights.none(time);
         this.contact = StoreContact.none(time);
-        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, this::weightsNamed, account);
+        this.fleet = FleetState.empty(time, upstreams, weights, contact, log, this::weightsNamed, parts.account());
+        this.records = new RequestRecords(time, log, RequestMetrics.of(metrics), parts.account(), fleet, contact);
         this.confirmation = new Confirmation(contact, settings.bounds().revocation());
         this.datagrams =
                 new FleetDatagrams(settings, time, DatagramPort.of(loop, log), fleet, upstreams, weights, suspects);
@@ -267,12 +262,12 @@
     @Override
     public void firstByte(Exchange exchange, Duration sinceSend) {
         queue(exchange.service()).firstByteAfter(sinceSend);
-        requestMetrics.firstByte(exchange.route().kind(), millisSince(exchange.arrivalNanos()));
+        records.firstByte(exchange);
     }
 
     @Override
     public void sendEnded(String upstream, String reason) {
-        requestMetrics.sendEnded(upstream, reason);
+        records.sendEnded(upstream, reason);
     }
 
     @Override
@@ -286,47 +281,7 @@
     @Override
     public void ended(Exchange exchange, ExchangeEnd end) {
         open.remove(exchange);
-        long millis = millisSince(exchange.arrivalNanos());
-        requestMetrics.ended(exchange.route().kind(), end.status(), end.verdict(), end.reason(), millis);
-        account.ended(new AccountedRequest(
-                exchange.id(),
-                exchange.customer(),
-                exchange.rank().text(),
-                exchange.service(),
-                profile(exchange.service()).map(EngineProfile::model),
-                Duration.ofMillis(millis),
-                configVersion(),
-                contact.age(),
-                end.status(),
-                end.verdict(),
-                end.reason(),
-                exchange.request().body(),
-                end.answerDigest(),
-                end.sends()));
-        log.write(
-                Event.REQUEST_FINISHED,
-                "request",
-                exchange.id(),
-                "route",
-                exchange.route().name(),
-                "customer",
-                exchange.customer(),
-                "status",
-                end.status(),
-                "verdict",
-                end.verdict(),
-                "reason",
-                end.reason(),
-                "upstream",
-                end.upstream(),
-                "sends",
-                end.sends().size(),
-                "ms",
-                millis,
-                "config",
-                configVersion(),
-                "config_age_ms",
-                contact.age().toMillis());
+        records.ended(exchange, end);
     }
 
     private CallerLimits limits() {
@@ -340,36 +295,7 @@
 
     @Override
     public void refused(CallerRequest request, int status, String reason) {
-        requestMetrics.refused(status, reason);
-        account.ended(new AccountedRequest(
-                request.attemptId(),
-                "",
-                "",
-                "",
-                Optional.empty(),
-                Duration.ZERO,
-                configVersion(),
-                contact.age(),
-                status,
-                Verdict.NOT_RUN,
-                reason,
-                request.body(),
-                Optional.empty(),
-                List.of()));
-        log.write(
-                Event.REQUEST_REFUSED,
-                "request",
-                request.attemptId(),
-                "status",
-                status,
-                "reason",
-                reason,
-                "path",
-                request.path(),
-                "config",
-                configVersion(),
-                "config_age_ms",
-                contact.age().toMillis());
+        records.refused(request, status, reason);
     }
 
     private void answerReadiness(HttpRequest head, byte[] body, AnswerWriter writer) {
@@ -432,10 +358,6 @@
         datagrams.subscribe();
     }
 
-    private long millisSince(long nanos) {
-        return time.since(nanos).toMillis();
-    }
-
     private OptionalLong oldestServing(String service) {
         Duration bound = settings.bounds().versionChange().minus(VERSION_MARGIN);
         return profile(service)
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -39,9 +39,6 @@
     /** Copies of one piece with a wrong digest after which the manifest itself is asked for again. */
     private static final int WRONG_DIGESTS_TO_DOUBT = 3;
 
-    /** Time for which an order that has not shown in a report is not repeated. */
-    private static final Duration ORDER_PAUSE = Duration.ofMillis(600);
-
     /** Pieces that a region fetches from outside at a time; a piece takes 27 ms of the origin's link. */
     private static final int OUTSIDE_WINDOW = 32;
 
@@ -54,6 +51,9 @@
     private static final RegionalSwarmPlanner.Patience PATIENCE =
             new RegionalSwarmPlanner.Patience(OUTSIDE_WINDOW, 800, 500, 3500, 1500);
 
+    /** Time from the last piece until the engine serves: check, load of 0.3 s, and the report to the entries. */
+    private static final Duration LOAD_TIME = Duration.ofMillis(700);
+
     private final NodeSettings settings;
     private final TimeSource time;
     private final DecisionLog log;
@@ -63,6 +63,10 @@
     private final FetchPlanner planner = RegionalSwarmPlanner.of(PATIENCE);
     private final UniformRandomProvider random;
     private final WeightsMetrics weightsMetrics;
+    private final ManifestSearch manifests;
+    private final StagedReader reader;
+    private final LoadOrder orders;
+    private final Runnable stocked;
     private Optional<GatewayConfig> config = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private String model = "";
@@ -71,13 +75,6 @@
     private Optional<Stock> stock = Optional.empty();
     private Optional<WeightsFetch> fetch = Optional.empty();
     private Optional<EngineStaging> staging = Optional.empty();
-    private boolean filling;
-    private boolean ordered;
-    private long orderedNanos;
-    private final ManifestSearch manifests;
-    private final Runnable stocked;
-    private final LoadTurn turn;
-
     private final Map<Integer, Integer> wrongDigests = new HashMap<>();
 
     private WeightsKeeper(
@@ -95,10 +92,10 @@
         this.peers = Peers.of(time, settings.ip());
         this.random = new SplitMix64(parts.random().nextLong());
         this.stocked = stocked;
-        this.turn = new LoadTurn(time, settings.ip(), settings.bounds().versionChange());
-
         this.manifests = new ManifestSearch(time, log, sources, peers, random, settings.peerPort());
         this.weightsMetrics = WeightsMetrics.of(metrics);
+        this.reader = new StagedReader(engine, log);
+        this.orders = new LoadOrder(engine, time, log, weightsMetrics);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newest);
         metrics.gauge(
                 Series.of("masticcroft_weights_loaded_version"),
@@ -143,11 +140,18 @@
         if (namedModel.equals(model) && version > newest) {
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newest);
             newest = version;
-            turn.named();
             tick();
         }
     }
 
+    /** Returns the time until the engine is expected to serve the newest weights; empty if it does or cannot tell. */
+    public Optional<Duration> readyIn() {
+        if (report.isEmpty() || stock.isEmpty() || current()) {
+            return Optional.empty();
+        }
+        return fetch.flatMap(WeightsFetch::left).map(left -> left.plus(LOAD_TIME));
+    }
+
     /** Returns the newest version that was named; empty if none was. */
     public Optional<FleetChange.WeightsNamed> named() {
         return newest > FIRST_VERSION ? Optional.of(new FleetChange.WeightsNamed(model, newest)) : Optional.empty();
@@ -170,7 +174,7 @@
         boolean restarted = report.isPresent() && report.get().startMillis() != newReport.startMillis();
         if (restarted) {
             log.write(Event.ENGINE_RESTARTED, "start", newReport.startMillis());
-            ordered = false;
+            orders.forget();
         }
         boolean changed = report.isEmpty() || !report.get().loadedVersion().equals(newReport.loadedVersion());
         if (changed) {
@@ -215,7 +219,7 @@
             return;
         }
         if (current()) {
-            fillFromEngine();
+            reader.read(stock.get(), () -> stock.orElse(null));
             return;
         }
         startFetch();
@@ -295,10 +299,9 @@
         fetch = Optional.empty();
         staging.ifPresent(EngineStaging::abandon);
         staging = Optional.empty();
-        ordered = false;
+        orders.forget();
         wrongDigests.clear();
         manifests.start(model, target);
-        turn.restart();
     }
 
     private boolean loaded(long version) {
@@ -397,75 +400,9 @@
         }
     }
 
-    /** Reads the staged pieces of the loaded version, because other sidecars want them. */
-    private void fillFromEngine() {
-        Stock own = stock.get();
-        if (own.complete() || filling) {
-            return;
-        }
-        filling = true;
-        fillNext(own, own.held().nextClearBit(0));
-    }
-
-    private void fillNext(Stock own, int piece) {
-        if (piece >= own.manifest().pieces() || stock.isEmpty() || stock.get() != own) {
-            filling = false;
-            log.write(
-                    Event.STAGED_PIECES_READ,
-                    "version",
-                    own.manifest().version(),
-                    "held",
-                    own.held().cardinality());
-            return;
-        }
-        engine.staged(own.manifest().model(), piece, data -> {
-            data.ifPresent(bytes -> own.add(piece, bytes));
-            fillNext(own, own.held().nextClearBit(piece + 1));
-        });
-    }
-
     private void order() {
-        EngineStaging area = staging.orElse(null);
-        if (area == null || !stock.get().complete() || report.get().busy()) {
-            return;
-        }
-        if (ordered && time.since(orderedNanos).compareTo(ORDER_PAUSE) < 0) {
-            return;
-        }
-        if (area.checking() || !area.complete() || !turn.has(servesOlder(), peers.others())) {
-            return;
+        if (staging.isPresent() && stock.get().complete()) {
+            orders.give(staging.get(), model, target, report::get);
         }
-        long version = target;
-        area.check(() -> giveOrder(version));
-    }
-
-    private boolean servesOlder() {
-        return report.get().loadedVersion().isPresent()
-                && report.get().loadedVersion().getAsLong() < target;
-    }
-
-    private void giveOrder(long version) {
-        if (version != target || report.get().busy()) {
-            return;
-        }
-        ordered = true;
-        orderedNanos = time.nanoTime();
-        engine.load(model, version, report.get().ordersBegun(), outcome -> ordered(version, outcome));
-    }
-
-    private void ordered(long version, OwnEngine.OrderOutcome outcome) {
-        weightsMetrics.ordered(outcome.name());
-        log.write(
-                Event.ENGINE_ORDER,
-                "order",
-                "load",
-                "model",
-                model,
-                "version",
-                version,
-                "orders",
-                report.get().ordersBegun(),
-                "outcome",
-                outcome);
     }
 }
