Do not take a full engine for an outage

Cause: after a refusal an engine is left alone for 60 ms and twice as long with each further one. While all engines were in such a pause the queue saw none that serves and refused every request with the time of an outage. Change: whether an upstream serves no longer depends on the pause. The new test fails with the condition as it was before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -119,7 +119,12 @@
 
     /** Returns whether new requests may go to the upstream. */
     public boolean accepts(long nowNanos) {
-        return !removed && !listing.leaving() && nowNanos - fullUntilNanos >= 0 && breaker.isCallPermitted(nowNanos);
+        return usable(nowNanos) && nowNanos - fullUntilNanos >= 0;
+    }
+
+    /** Returns whether the upstream may take requests, now or after the pause that follows a refusal. */
+    public boolean usable(long nowNanos) {
+        return !removed && !listing.leaving() && breaker.isCallPermitted(nowNanos);
     }
 
     boolean removed() {
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -77,7 +77,7 @@
     public static boolean anyServing(
             List<Upstream> upstreams, Optional<EngineProfile> profile, OptionalLong oldestVersion, long nowNanos) {
         return upstreams.stream()
-                .anyMatch(upstream -> upstream.accepts(nowNanos)
+                .anyMatch(upstream -> upstream.usable(nowNanos)
                         && (profile.isEmpty() || (!upstream.loading(nowNanos) && serves(upstream, oldestVersion))));
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -274,6 +274,19 @@
             assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-upstream");
         }
 
+        // Guards against engines that are full for a moment and are taken for an outage.
+        @Test
+        void areNotGivenBecauseAnEngineJustRefusedARequest() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest first = add("a", 1);
+            first.choice.orElseThrow().upstream().refused(time.nanoTime(), Duration.ofMillis(60));
+            FakeRequest second = add("b", 1);
+            assertThat(second.refusal).isEmpty();
+            time.advance(Duration.ofMillis(60));
+            queue.serve(PROFILE, OptionalLong.empty());
+            assertThat(second.choice).isPresent();
+        }
+
         // Guards against callers that are sent away for the last time just before an engine serves again.
         @Test
         void areNotGivenWhenAnOutageIsAboutToEnd() {
