Remove the foretold end of an outage

Change: the forecast is gone from datagrams, queue and sidecar. Conclusion: callers learn a fixed time of 2 s in an outage, as before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -28,9 +28,6 @@
     /** When to come back while no upstream serves; engines are back after seconds. */
     private static final Duration OUTAGE_RETRY = Duration.ofMillis(2000);
 
-    /** Rest of an outage that every request may wait for; callers leave after 2 s or more without a byte. */
-    private static final Duration NEAR_END = Duration.ofMillis(1000);
-
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
     private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
 
@@ -87,14 +84,12 @@
                 return;
             }
         }
-        boolean serving = UpstreamChooser.anyServing(table.ofService(service), profile, oldestVersion, now);
-        OptionalLong readyAt = UpstreamChooser.firstReadyNanos(table.ofService(service), now);
-        if (!serving && !worthAwaiting(request, readyAt, now)) {
-            refuse(request, "no-upstream", outageRetry(readyAt, now));
+        if (!UpstreamChooser.anyServing(table.ofService(service), profile, oldestVersion, now)) {
+            refuse(request, "no-upstream", OUTAGE_RETRY);
             return;
         }
-        Duration wait = serving ? expectedWait(request, key, now) : Duration.ofNanos(readyAt.orElse(now) - now);
-        if (serving && !request.begun() && !worthWaiting(request, wait, now)) {
+        Duration wait = expectedWait(request, key, now);
+        if (!request.begun() && !worthWaiting(request, wait, now)) {
             refuse(request, "expected-wait", wait);
             return;
         }
@@ -129,7 +124,7 @@
         }
         List<Upstream> upstreams = table.ofService(service);
         if (!UpstreamChooser.anyServing(upstreams, profile, oldestVersion, now)) {
-            refuseInOutage(UpstreamChooser.firstReadyNanos(upstreams, now), now);
+            refuseAll();
             return;
         }
         while (!waiting.isEmpty()) {
@@ -218,30 +213,10 @@
         }
     }
 
-    /**
-     * Returns whether a request may wait for the end of an outage. A caller that comes back for the second time has no
-     * further try; others wait only if the end is near.
-     */
-    private boolean worthAwaiting(Waiting request, OptionalLong readyAt, long now) {
-        if (readyAt.isEmpty()) {
-            return false;
-        }
-        long answer = readyAt.getAsLong() + estimate.firstByte().toNanos();
-        boolean soon = readyAt.getAsLong() - now <= NEAR_END.toNanos();
-        return answer <= request.giveUpNanos() && (soon || late(request, now));
-    }
-
-    private void refuseInOutage(OptionalLong readyAt, long now) {
-        for (Waiting request : List.copyOf(waiting)) {
-            if (!worthAwaiting(request, readyAt, now)) {
-                waiting.remove(request);
-                refuse(request, "no-upstream", outageRetry(readyAt, now));
-            }
-        }
-    }
-
-    private static Duration outageRetry(OptionalLong readyAt, long now) {
-        return readyAt.isPresent() ? Duration.ofNanos(Math.max(0, readyAt.getAsLong() - now)) : OUTAGE_RETRY;
+    private void refuseAll() {
+        List<Waiting> refused = List.copyOf(waiting);
+        waiting.clear();
+        refused.forEach(request -> refuse(request, "no-upstream", OUTAGE_RETRY));
     }
 
     private static void refuse(Waiting request, String reason, Duration wait) {
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -25,8 +25,6 @@
     /** Doublings of the pause after refusals; an engine that loads refuses for one to two seconds. */
     private static final int MAX_DOUBLINGS = 3;
 
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /** Weight of the newest outcome in the share of failures. */
     private static final double FAILURE_WEIGHT = 0.15;
 
@@ -100,13 +98,6 @@
         return report == null ? OptionalLong.empty() : OptionalLong.of((nowNanos - reportNanos) / 1_000_000);
     }
 
-    /** Returns the monotonic time at which the upstream is expected to serve the newest weights, if it says so. */
-    public OptionalLong readyAtNanos(long nowNanos) {
-        return reportIsFresh(nowNanos) && report.readyInMillis().isPresent()
-                ? OptionalLong.of(reportNanos + report.readyInMillis().getAsLong() * NANOS_PER_MILLI)
-                : OptionalLong.empty();
-    }
-
     /** Returns whether a report shows that the upstream's process lived a moment ago. */
     public boolean seenAlive(long nowNanos) {
         return report != null && nowNanos - reportNanos < ALIVE_AGE.toNanos();
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -81,15 +81,6 @@
                         && (profile.isEmpty() || (!upstream.loading(nowNanos) && serves(upstream, oldestVersion))));
     }
 
-    /** Returns the monotonic time at which the first upstream is expected to serve again, if any says so. */
-    public static OptionalLong firstReadyNanos(List<Upstream> upstreams, long nowNanos) {
-        return upstreams.stream()
-                .map(upstream -> upstream.readyAtNanos(nowNanos))
-                .filter(OptionalLong::isPresent)
-                .mapToLong(OptionalLong::getAsLong)
-                .min();
-    }
-
     private static boolean eligible(
             Waiting request,
             Upstream upstream,
--- a/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
@@ -11,17 +11,9 @@
  * @param queued requests that wait in the engine
  * @param loading whether the engine loads weights and accepts nothing new
  * @param servedVersion version of the weights that it serves; empty if it serves none
- * @param readyInMillis expected time until it serves the newest weights; empty if it does, or if nobody can tell
  */
-public record LoadReport(
-        long startMillis,
-        int running,
-        int queued,
-        boolean loading,
-        OptionalLong servedVersion,
-        OptionalLong readyInMillis) {
+public record LoadReport(long startMillis, int running, int queued, boolean loading, OptionalLong servedVersion) {
     public LoadReport {
         Objects.requireNonNull(servedVersion, "servedVersion");
-        Objects.requireNonNull(readyInMillis, "readyInMillis");
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -76,8 +76,7 @@
                 load.getRunning(),
                 load.getQueued(),
                 load.getLoading(),
-                load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty(),
-                load.getReadyInMillis() > 0 ? OptionalLong.of(load.getReadyInMillis()) : OptionalLong.empty());
+                load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty());
         long now = time.nanoTime();
         upstreams.reported(new Address(sender.ip(), load.getPort()), report, now);
         load.getNamedList().forEach(named -> fleet.named(named.getModel(), named.getVersion()));
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -213,7 +213,6 @@
         keeper.named()
                 .ifPresent(named -> load.addNamed(
                         NamedWeights.newBuilder().setModel(named.model()).setVersion(named.version())));
-        keeper.readyIn().ifPresent(time -> load.setReadyInMillis((int) Math.max(1, time.toMillis())));
         suspicions.forEach((entry, fingerprints) -> {
             if (!fingerprints.isEmpty()) {
                 load.addSuspicions(Suspicion.newBuilder().setEntry(entry.ip()).addAllFingerprints(fingerprints));
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsFetch.java
@@ -27,9 +27,6 @@
     /** Pause between two tries while the origin fails; a crashed one is back after some seconds. */
     private static final Duration ORIGIN_SET_BACK = Duration.ofMillis(300);
 
-    /** Time without a piece after which the rest cannot be foretold; the origin may be down for seconds. */
-    private static final Duration STALLED = Duration.ofMillis(800);
-
     private final Stock stock;
     private final Place place;
     private final FetchPlanner planner;
@@ -42,7 +39,6 @@
     private final Set<Integer> inProgress = new HashSet<>();
     private final Set<String> busyPeers = new HashSet<>();
     private final long startNanos;
-    private final int heldAtStart;
     private long progressNanos;
     private long originSetBackNanos;
     private boolean originSetBack;
@@ -70,7 +66,6 @@
         this.listener = listener;
         this.startNanos = time.nanoTime();
         this.progressNanos = startNanos;
-        this.heldAtStart = stock.held().cardinality();
     }
 
     Stock stock() {
@@ -88,19 +83,6 @@
         }
     }
 
-    /** Returns the time until all pieces are here at the rate so far; empty while none arrive. */
-    Optional<Duration> left() {
-        if (stock.complete()) {
-            return Optional.of(Duration.ZERO);
-        }
-        int fetched = stock.held().cardinality() - heldAtStart;
-        if (fetched == 0 || time.since(progressNanos).compareTo(STALLED) > 0) {
-            return Optional.empty();
-        }
-        int missing = stock.manifest().pieces() - stock.held().cardinality();
-        return Optional.of(time.since(startNanos).multipliedBy(missing).dividedBy(fetched));
-    }
-
     /** Ignores the transfers that are still in progress. */
     void abandon() {
         abandoned = true;
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsKeeper.java
@@ -1,7 +1,6 @@
 package org.masticcroft.gateway.weights;
 
 import com.google.protobuf.ByteString;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,9 +50,6 @@
     private static final RegionalSwarmPlanner.Patience PATIENCE =
             new RegionalSwarmPlanner.Patience(OUTSIDE_WINDOW, 800, 500, 3500, 1500);
 
-    /** Time from the last piece until the engine serves: check, load of 0.3 s, and the report to the entries. */
-    private static final Duration LOAD_TIME = Duration.ofMillis(700);
-
     private final NodeSettings settings;
     private final TimeSource time;
     private final DecisionLog log;
@@ -144,14 +140,6 @@
         }
     }
 
-    /** Returns the time until the engine is expected to serve the newest weights; empty if it does or cannot tell. */
-    public Optional<Duration> readyIn() {
-        if (report.isEmpty() || stock.isEmpty() || current()) {
-            return Optional.empty();
-        }
-        return fetch.flatMap(WeightsFetch::left).map(left -> left.plus(LOAD_TIME));
-    }
-
     /** Returns the newest version that was named; empty if none was. */
     public Optional<FleetChange.WeightsNamed> named() {
         return newest > FIRST_VERSION ? Optional.of(new FleetChange.WeightsNamed(model, newest)) : Optional.empty();
