Bound what callers and servers may send, and stop listening without resets

Change: the listener leaves its selector, accepts what is pending and closes. A slow head is refused with 408, a long one with 431. Eight other responses and 64 kB of them are skipped, then the call fails; a buffered body has at most 4 MiB. A response ends when the read that completed it has been seen whole. A response to HEAD has no body and releases its buffer.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
@@ -12,11 +12,14 @@
 
 /** A call that buffers the complete response, with a timeout. */
 public final class BufferedCall implements ResponseListener {
+    /** Maximum size of a response; the largest proper ones are pages of the store, of about 1.4 MB. */
+    private static final int MAX_BODY_BYTES = 4_194_304;
+
     private final Consumer<Result> onResult;
     private Future<?> timer;
     private Call call;
     private int status;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final ByteBuf body = Unpooled.buffer();
     private boolean completed;
 
     private BufferedCall(Consumer<Result> onResult) {
@@ -52,7 +55,12 @@
 
     @Override
     public void onContent(ByteBuf content) {
-        body = Unpooled.copiedBuffer(body, content);
+        if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
+            call.cancel();
+            onFailure(CallFailure.MALFORMED);
+            return;
+        }
+        body.writeBytes(content, content.readerIndex(), content.readableBytes());
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -20,6 +20,12 @@
      */
     private static final Duration IDLE_TIMEOUT_MARGIN = Duration.ofMillis(800);
 
+    /** Interim and misdirected responses before the awaited one; a server in trouble may send them without end. */
+    private static final int MAX_OTHER_RESPONSES = 8;
+
+    /** Bytes of responses to earlier requests that are skipped while a response is awaited. */
+    private static final int MAX_SKIPPED_BYTES = 65_536;
+
     private final PooledHttpClient client;
     private final Address address;
     private ChannelHandlerContext context;
@@ -27,6 +33,9 @@
     private boolean accepted;
     private boolean reusable;
     private boolean wasReset;
+    private ResponseListener ended;
+    private int otherResponses;
+    private int skippedBytes;
     private long idleSinceNanos;
     private Duration idleTimeout = Duration.ofDays(1);
 
@@ -48,6 +57,8 @@
         listener = newListener;
         accepted = false;
         reusable = false;
+        otherResponses = 0;
+        skippedBytes = 0;
         context.writeAndFlush(request);
         return new ConnectionCall(newListener);
     }
@@ -65,7 +76,9 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
             if (listener == null) {
-                // Unsolicited response: responses on this connection can no longer be matched to requests.
+                // Unsolicited bytes: responses on this connection can no longer be matched to requests.
+                reusable = false;
+                client.removeIdle(this);
                 ctx.close();
             } else if (((HttpObject) message).decoderResult().isFailure()) {
                 fail(CallFailure.MALFORMED);
@@ -77,9 +90,16 @@
         }
     }
 
+    /** Ends the response only now, since bytes that belong to no request may have come right behind it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        reportEnd();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         client.removeIdle(this);
+        reportEnd();
         if (listener != null) {
             fail(wasReset ? CallFailure.RESET : CallFailure.CLOSED_EARLY);
         }
@@ -97,11 +117,14 @@
     private void read(HttpObject message) {
         if (message instanceof HttpResponse head) {
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                countOther();
                 return;
             }
             accepted = listener.accepts(head);
             if (accepted) {
                 readHead(head);
+            } else {
+                countOther();
             }
         }
         if (message instanceof HttpContent content) {
@@ -120,6 +143,7 @@
 
     private void readContent(HttpContent content) {
         if (!accepted) {
+            skip(content);
             return;
         }
         if (listener != null && content.content().isReadable()) {
@@ -130,6 +154,20 @@
         }
     }
 
+    private void countOther() {
+        otherResponses++;
+        if (otherResponses > MAX_OTHER_RESPONSES) {
+            fail(CallFailure.MALFORMED);
+        }
+    }
+
+    private void skip(HttpContent content) {
+        skippedBytes += content.content().readableBytes();
+        if (listener != null && skippedBytes > MAX_SKIPPED_BYTES) {
+            fail(CallFailure.MALFORMED);
+        }
+    }
+
     private void end() {
         ResponseListener finished = listener;
         listener = null;
@@ -137,8 +175,17 @@
             finished.onFailure(CallFailure.RESET);
             return;
         }
+        idleSinceNanos = client.time().nanoTime();
+        ended = finished;
+    }
+
+    private void reportEnd() {
+        if (ended == null) {
+            return;
+        }
+        ResponseListener finished = ended;
+        ended = null;
         if (reusable && context.channel().isActive()) {
-            idleSinceNanos = client.time().nanoTime();
             client.returnToPool(this);
         } else {
             context.close();
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -5,10 +5,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Objects;
@@ -27,6 +25,8 @@
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
 
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
+
+    /** Bound of a request head before a configuration states one, and for connections accepted before that. */
     private static final int MAX_HEADER_BYTES = 32_768;
 
     private final EventLoop loop;
@@ -36,6 +36,7 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private boolean draining;
+    private boolean listenerClosing;
 
     private HttpServer(EventLoop loop, TimeSource time, Supplier<CallerLimits> limits, RequestHandler handler) {
         this.loop = loop;
@@ -58,7 +59,7 @@
     public void listen(Address address) {
         serverChannel = new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
+                .channel(DrainingServerChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -80,9 +81,16 @@
         draining = true;
     }
 
-    /** Closes the connections without an open request, and stops accepting connections. */
+    /** Stops accepting connections, except those that are established already. */
+    public void stopListening() {
+        if (!listenerClosing) {
+            listenerClosing = true;
+            DrainingServerChannel.acceptPendingAndClose(serverChannel);
+        }
+    }
+
+    /** Closes the connections without an open request. */
     public void closeIdle() {
-        serverChannel.close();
         new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
 
@@ -116,14 +124,15 @@
         connections.add(connection);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                .setMaxHeaderSize(MAX_HEADER_BYTES);
-        channel.pipeline().addLast(new HttpServerCodec(config), connection);
+                .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits().maxHeaderBytes()));
+        channel.pipeline().addLast(connection.headTimer(), new HttpServerCodec(config), connection);
     }
 
     private void closeExpired() {
-        Duration idleTimeout = limits().idleTimeout();
+        CallerLimits current = limits();
         for (ServerConnection connection : new ArrayList<>(connections)) {
-            connection.closeIfIdleLongerThan(idleTimeout);
+            connection.closeIfIdleLongerThan(current.idleTimeout());
+            connection.rejectIfHeadTakesLongerThan(current.headerTimeout());
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -31,30 +32,41 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 
 /** One connection of the HTTP server. Pipelined requests are handled one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     /** Requests that may wait behind the current one; a small bound, since callers of this gateway do not pipeline. */
     private static final int MAX_PIPELINED = 8;
 
+    /** Separators of a header line. */
+    private static final int HEADER_OVERHEAD_BYTES = 4;
+
     private final HttpServer server;
     private final Deque<BufferedRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private CompositeByteBuf body;
+    private final HeadTimer headTimer = new HeadTimer();
     private ConnectionWriter current;
     private long lastActiveNanos;
+    private boolean rejected;
 
     ServerConnection(HttpServer server) {
         this.server = server;
     }
 
+    /** Returns the handler that goes before the decoder and notes when a request head begins. */
+    ChannelInboundHandler headTimer() {
+        return headTimer;
+    }
+
     boolean busy() {
         return current != null || !pipelined.isEmpty();
     }
 
     void closeIfIdle() {
-        if (!busy() && head == null) {
+        if (!busy() && head == null && !headTimer.headBegun()) {
             context.close();
         }
     }
@@ -65,6 +77,13 @@
         }
     }
 
+    /** Refuses a request whose head arrives too slowly, so that it does not hold the connection. */
+    void rejectIfHeadTakesLongerThan(Duration limit) {
+        if (headTimer.headBegun() && !busy() && headTimer.age().compareTo(limit) > 0) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -74,6 +93,9 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
+            if (rejected) {
+                return;
+            }
             if (((HttpObject) message).decoderResult().isFailure()) {
                 rejectMalformed(((HttpObject) message).decoderResult().cause());
                 return;
@@ -109,6 +131,11 @@
 
     private void startRequest(HttpRequest request) {
         lastActiveNanos = server.time().nanoTime();
+        headTimer.headEnded();
+        if (headBytes(request) > server.limits().maxHeaderBytes()) {
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
+            return;
+        }
         head = request;
         body = context.alloc().compositeBuffer();
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -117,7 +144,16 @@
         }
     }
 
+    private static int headBytes(HttpRequest request) {
+        int bytes = request.method().name().length() + request.uri().length();
+        for (Map.Entry<String, String> header : request.headers()) {
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_OVERHEAD_BYTES;
+        }
+        return bytes;
+    }
+
     private void addContent(HttpContent content) {
+        lastActiveNanos = server.time().nanoTime();
         if (body.readableBytes() + content.content().readableBytes()
                 > server.limits().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
@@ -127,6 +163,7 @@
         if (content instanceof LastHttpContent) {
             BufferedRequest request = new BufferedRequest(head, ByteBufUtil.getBytes(body));
             head = null;
+            headTimer.requestEnded();
             releaseBody();
             if (pipelined.size() >= MAX_PIPELINED) {
                 context.close();
@@ -153,6 +190,7 @@
 
     /** Responds to an invalid request and closes the connection, because the next request cannot be delimited. */
     private void reject(HttpResponseStatus status) {
+        rejected = true;
         head = null;
         releaseBody();
         if (current != null) {
@@ -173,6 +211,39 @@
 
     private record BufferedRequest(HttpRequest head, byte[] body) {}
 
+    /** Notes the arrival of the first bytes of a request head, which the decoder keeps until the head is complete. */
+    private final class HeadTimer extends ChannelInboundHandlerAdapter {
+        private boolean betweenRequests = true;
+        private boolean headBegun;
+        private long headBegunNanos;
+
+        boolean headBegun() {
+            return headBegun;
+        }
+
+        Duration age() {
+            return server.time().since(headBegunNanos);
+        }
+
+        void headEnded() {
+            headBegun = false;
+            betweenRequests = false;
+        }
+
+        void requestEnded() {
+            betweenRequests = true;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (betweenRequests && !headBegun) {
+                headBegun = true;
+                headBegunNanos = server.time().nanoTime();
+            }
+            ctx.fireChannelRead(message);
+        }
+    }
+
     /** Writes the response to the current request. */
     private final class ConnectionWriter implements ResponseWriter {
         private final boolean keepAlive;
@@ -192,14 +263,18 @@
                 content.release();
                 return;
             }
-            ByteBuf payload = headRequest ? Unpooled.EMPTY_BUFFER : content;
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+            ByteBuf payload = content;
+            if (headRequest) {
+                content.release();
+                payload = Unpooled.EMPTY_BUFFER;
+            }
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(status),
                     payload,
                     headers,
                     EmptyHttpHeaders.INSTANCE);
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
             setConnection(headers);
             finish(response);
         }
@@ -218,7 +293,7 @@
 
         @Override
         public void writeChunk(ByteBuf content) {
-            if (finished) {
+            if (finished || headRequest) {
                 content.release();
                 return;
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -192,6 +192,7 @@
     }
 
     private void awaitOpenRequests(Runnable finished) {
+        callerServer.stopListening();
         callerServer.closeIdle();
         if (callerServer.openRequests() == 0) {
             // The delay lets the last bytes of the responses leave the machine before the process ends.
--- /dev/null
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -0,0 +1,221 @@
+package org.masticcroft.gateway.http;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.kernel.time.TimeSource;
+
+class HttpServerTest {
+    private static final CallerLimits LIMITS =
+            new CallerLimits(2000, 4000, Duration.ofMillis(1500), Duration.ofSeconds(30));
+    private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final HttpServer server = HttpServer.of(
+            loop,
+            TimeSource.system(),
+            () -> LIMITS,
+            (head, body, writer) ->
+                    writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'})));
+    private final Address address = new Address("127.0.0.1", freePort());
+
+    HttpServerTest() throws IOException {
+        server.listen(address);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", address.port());
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    private static String readToEnd(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+    }
+
+    @Nested
+    class Heads {
+        /** Guards against callers that hold a connection with a head that never ends. */
+        @Test
+        void thatArriveByteByByteAreRefusedInTime() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, "GET / HTTP/1.1\r\nX: ");
+                long start = System.nanoTime();
+                Thread writer = new Thread(() -> trickle(socket));
+                writer.start();
+                String response = readToEnd(socket);
+                writer.interrupt();
+
+                assertThat(response).startsWith("HTTP/1.1 408");
+                assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(5));
+            }
+        }
+
+        /** Guards against a head over the operators' limit that is accepted because it is below the decoder's. */
+        @Test
+        void overTheLimitAreRefused() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, "GET / HTTP/1.1\r\nX: " + "x".repeat(2500) + "\r\n\r\n");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 431");
+            }
+        }
+
+        /** Guards against a timeout for idle connections that have begun no request. */
+        @Test
+        void mayBeginAfterAnIdleTime() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, REQUEST);
+                assertThat(socket.getInputStream().readNBytes(12))
+                        .asString(ISO_8859_1)
+                        .isEqualTo("HTTP/1.1 200");
+                TimeUnit.MILLISECONDS.sleep(3000);
+                write(socket, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+
+                assertThat(readToEnd(socket)).contains("HTTP/1.1 200");
+            }
+        }
+
+        private static void trickle(Socket socket) {
+            try {
+                while (!Thread.currentThread().isInterrupted()) {
+                    write(socket, "x");
+                    TimeUnit.MILLISECONDS.sleep(100);
+                }
+            } catch (IOException | InterruptedException e) {
+                // The server has closed the connection, or the test has ended.
+            }
+        }
+    }
+
+    @Nested
+    class HeadRequests {
+        /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
+        @Test
+        void getNoBody() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, "HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+
+                assertThat(readToEnd(socket))
+                        .containsIgnoringCase("content-length: 2")
+                        .endsWith("\r\n\r\n");
+            }
+        }
+    }
+
+    @Nested
+    class Stop {
+        private static final int CALLERS = 6;
+        private static final int ESTABLISHED = 40;
+
+        /** Guards against a reset of connections that the kernel has established and the server has not accepted. */
+        @Test
+        void answersRequestsOnConnectionsThatWaitToBeAccepted() throws Exception {
+            CountDownLatch blocked = new CountDownLatch(1);
+            CountDownLatch release = new CountDownLatch(1);
+            loop.execute(() -> {
+                blocked.countDown();
+                await(release);
+                server.drain();
+                server.stopListening();
+            });
+            blocked.await();
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < ESTABLISHED; i++) {
+                Socket socket = connect();
+                write(socket, REQUEST);
+                sockets.add(socket);
+            }
+            release.countDown();
+
+            for (Socket socket : sockets) {
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200").endsWith("ok");
+                socket.close();
+            }
+        }
+
+        /** Guards against requests that break off because they arrive while the server stops listening. */
+        @Test
+        void answersOrRefusesRequestsThatArriveMeanwhile() throws Exception {
+            Queue<String> broken = new ConcurrentLinkedQueue<>();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                Thread caller = new Thread(() -> callUntilRefused(broken));
+                caller.start();
+                callers.add(caller);
+            }
+            TimeUnit.MILLISECONDS.sleep(300);
+            loop.execute(server::drain);
+            loop.execute(server::stopListening);
+            for (Thread caller : callers) {
+                caller.join(10_000);
+            }
+
+            assertThat(broken).isEmpty();
+        }
+
+        private void callUntilRefused(Queue<String> broken) {
+            ByteBuffer request = ByteBuffer.wrap(
+                    REQUEST.replace("Host", "Connection: close\r\nHost").getBytes(ISO_8859_1));
+            while (true) {
+                try (Socket socket = connect()) {
+                    socket.getOutputStream().write(request.array());
+                    if (!readToEnd(socket).endsWith("ok")) {
+                        broken.add("no response");
+                    }
+                } catch (ConnectException e) {
+                    return;
+                } catch (IOException e) {
+                    broken.add(e.toString());
+                }
+            }
+        }
+
+        private static void await(CountDownLatch latch) {
+            try {
+                latch.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
