Tell progress of a stream by its events and bound an event

Cause: any byte counted as progress, so a stalled stream that sends a byte now and then was never taken for stalled; an event without an end grew in memory; an id longer than a long broke the connection by an exception; a plain response that broke off in its middle marked its request as one that crashes engines.

Change: a stream makes progress with each complete event that has a new id. An event of more than 64 kB, 64 events without an id in a row or an id that is no number fail the attempt. A plain response with a head clears its request. The body of a plain response grows in one buffer (it was copied for each part) up to 4 MiB.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
@@ -15,10 +15,21 @@
     private static final String ID_FIELD = "id:";
     private static final int INITIAL_CAPACITY = 1024;
 
+    /** Maximum size of an event; a longer one is taken for bytes without end. */
+    private static final int MAX_EVENT_BYTES = 65_536;
+
+    /** Events without an id that may follow one another; they are no progress of a stream. */
+    private static final int MAX_EVENTS_WITHOUT_ID = 64;
+
+    /** Digits of the largest id that a long holds for certain. */
+    private static final int MAX_ID_DIGITS = 18;
+
     private byte[] pending = new byte[INITIAL_CAPACITY];
     private int length;
     private long lastEventId;
     private boolean gap;
+    private boolean invalid;
+    private int eventsWithoutId;
 
     private EventReader(long lastEventId) {
         this.lastEventId = lastEventId;
@@ -39,6 +50,11 @@
         return gap;
     }
 
+    /** Returns whether the bytes are no stream of events: an event without end, or an id that is no number. */
+    boolean invalid() {
+        return invalid;
+    }
+
     /** Returns whether part of an event has been received. */
     boolean hasPartial() {
         return length > 0;
@@ -73,14 +89,18 @@
         }
         System.arraycopy(pending, start, pending, 0, length - start);
         length -= start;
+        invalid |= length > MAX_EVENT_BYTES;
         return accepted;
     }
 
     private boolean isNext(int start, int end) {
         OptionalLong id = id(start, end);
         if (id.isEmpty()) {
-            return true;
+            eventsWithoutId++;
+            invalid |= eventsWithoutId > MAX_EVENTS_WITHOUT_ID;
+            return !invalid;
         }
+        eventsWithoutId = 0;
         if (id.getAsLong() <= lastEventId) {
             return false;
         }
@@ -97,14 +117,20 @@
         for (String line : event.split("\n")) {
             if (line.startsWith(ID_FIELD)) {
                 String value = line.substring(ID_FIELD.length()).trim();
-                return value.chars().allMatch(Character::isDigit) && !value.isEmpty()
-                        ? OptionalLong.of(Long.parseLong(value))
-                        : OptionalLong.empty();
+                return parseId(value);
             }
         }
         return OptionalLong.empty();
     }
 
+    private OptionalLong parseId(String value) {
+        if (value.isEmpty() || value.length() > MAX_ID_DIGITS || !value.chars().allMatch(Character::isDigit)) {
+            invalid = true;
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(Long.parseLong(value));
+    }
+
     private void append(ByteBuf content) {
         int addedLength = content.readableBytes();
         if (length + addedLength > pending.length) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/StallDetector.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/StallDetector.java
@@ -4,19 +4,19 @@
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.RouteKind;
 
-/** Decides from the time without a byte whether the response to a repeatable request has stalled. */
+/** Decides from the time without progress whether the response to a repeatable request has stalled. */
 final class StallDetector {
     /** Time without any byte after which a busy upstream is considered dead; its events come every 50 to 200 ms. */
     private static final Duration DEAD_UPSTREAM_TIMEOUT = Duration.ofMillis(900);
 
-    /** Time without a next byte after which a stream has stalled, even if its upstream serves others. */
-    private static final Duration NEXT_BYTE_TIMEOUT = Duration.ofMillis(1600);
+    /** Time without a next event after which a stream has stalled, even if its upstream serves others. */
+    private static final Duration NEXT_EVENT_TIMEOUT = Duration.ofMillis(1600);
 
     /**
-     * Time without a first byte after which a stream has stalled, even if its upstream is alive. An engine that gets
+     * Time without a first event after which a stream has stalled, even if its upstream is alive. An engine that gets
      * many prompts at once takes more than a second to prefill them.
      */
-    private static final Duration FIRST_BYTE_TIMEOUT = Duration.ofMillis(2200);
+    private static final Duration FIRST_EVENT_TIMEOUT = Duration.ofMillis(2200);
 
     /** Minimum time without a response after which an idempotent request is sent to another upstream. */
     private static final Duration MIN_IDEMPOTENT_TIMEOUT = Duration.ofMillis(350);
@@ -25,7 +25,7 @@
 
     /** Returns whether an attempt is not expected to be completed any more. */
     static boolean isStalled(Route route, UpstreamAttempt attempt, long nowNanos) {
-        Duration stalled = attempt.timeSinceLastByte(nowNanos);
+        Duration stalled = attempt.timeSinceProgress(nowNanos);
         if (route.kind() == RouteKind.IDEMPOTENT) {
             Duration limit =
                     route.target().compareTo(MIN_IDEMPOTENT_TIMEOUT) > 0 ? route.target() : MIN_IDEMPOTENT_TIMEOUT;
@@ -34,6 +34,6 @@
         boolean dead = stalled.compareTo(DEAD_UPSTREAM_TIMEOUT) > 0
                 && attempt.upstream().timeSinceLastByte(nowNanos).compareTo(DEAD_UPSTREAM_TIMEOUT) > 0
                 && !attempt.upstream().reportedAlive(nowNanos);
-        return dead || stalled.compareTo(attempt.firstByteReceived() ? NEXT_BYTE_TIMEOUT : FIRST_BYTE_TIMEOUT) > 0;
+        return dead || stalled.compareTo(attempt.firstByteReceived() ? NEXT_EVENT_TIMEOUT : FIRST_EVENT_TIMEOUT) > 0;
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -21,6 +21,9 @@
     /** Maximum idle time of a connection that is reused; after a longer time its peer may no longer respond. */
     private static final Duration MAX_REUSE_IDLE_TIME = Duration.ofMillis(1500);
 
+    /** Maximum size of a response that is not a stream; a longer one is taken for bytes without end. */
+    private static final int MAX_BODY_BYTES = 4_194_304;
+
     private final Exchange exchange;
     private final ExchangeContext context;
     private final Upstream upstream;
@@ -28,22 +31,22 @@
     private Call call;
     private ResponseHead head;
     private HttpHeaders headers;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final ByteBuf body = Unpooled.buffer(0);
     private boolean firstByteReceived;
     private boolean closed;
-    private long lastByteNanos;
+    private long lastProgressNanos;
 
     private UpstreamAttempt(Exchange exchange, ExchangeContext context, Upstream upstream) {
         this.exchange = exchange;
         this.context = context;
         this.upstream = upstream;
         this.startNanos = context.time().nanoTime();
-        this.lastByteNanos = startNanos;
+        this.lastProgressNanos = startNanos;
     }
 
     static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
         UpstreamAttempt attempt = new UpstreamAttempt(exchange, context, upstream);
-        upstream.recordSend(exchange.promptTokens(), attempt.lastByteNanos);
+        upstream.recordSend(exchange.promptTokens(), attempt.startNanos);
         // If the upstream closes a reused connection while the request is on its way, it is unknown whether the request
         // ran. A request that may run at most once therefore gets a new connection.
         Duration maxReuseIdleTime =
@@ -74,9 +77,12 @@
         return firstByteReceived;
     }
 
-    /** Returns the time since the last byte of the response was received, or since the request was sent. */
-    Duration timeSinceLastByte(long nowNanos) {
-        return Duration.ofNanos(nowNanos - lastByteNanos);
+    /**
+     * Returns the time since the response last made progress, or since the request was sent. A stream makes progress
+     * with each complete event, any other response with each byte.
+     */
+    Duration timeSinceProgress(long nowNanos) {
+        return Duration.ofNanos(nowNanos - lastProgressNanos);
     }
 
     /** Cancels the attempt without reporting a failure to the exchange. */
@@ -101,6 +107,7 @@
     @Override
     public void onHead(HttpResponse response) {
         recordByte();
+        recordProgress();
         head = context.dialect().decode(response);
         headers = context.dialect().forwardedHeaders(response);
         upstream.updateServedVersion(head.weightsVersion());
@@ -110,15 +117,23 @@
     public void onContent(ByteBuf content) {
         recordByte();
         if (!streaming()) {
-            body = Unpooled.copiedBuffer(body, content);
+            addToBody(content);
             return;
         }
+        long lastEventId = exchange.events().lastEventId();
         ByteBuf completeEvents = exchange.events().read(content);
         if (exchange.events().hasGap()) {
             call.cancel();
             fail(Verdict.MAY_HAVE_RUN, "event-missing");
             return;
         }
+        if (exchange.events().invalid()) {
+            failMalformed();
+            return;
+        }
+        if (exchange.events().lastEventId() > lastEventId) {
+            recordProgress();
+        }
         if (!completeEvents.isReadable()) {
             return;
         }
@@ -155,7 +170,7 @@
             return;
         }
         upstream.recordFailure(context.time().nanoTime());
-        if (failure.verdict() == Verdict.MAY_HAVE_RUN && !firstByteReceived) {
+        if (failure.verdict() == Verdict.MAY_HAVE_RUN && !responseBegun()) {
             context.onUpstreamFailed(exchange, upstream.id());
         }
         if (failure == CallFailure.NOT_CONNECTED) {
@@ -164,6 +179,26 @@
         fail(failure.verdict(), failure.name().toLowerCase(Locale.ROOT).replace('_', '-'));
     }
 
+    /** Returns whether the upstream survived the start of the request, so that the request did not crash it. */
+    private boolean responseBegun() {
+        return exchange.isStream() ? firstByteReceived : head != null;
+    }
+
+    private void addToBody(ByteBuf content) {
+        recordProgress();
+        if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
+            failMalformed();
+            return;
+        }
+        body.writeBytes(content, content.readerIndex(), content.readableBytes());
+    }
+
+    private void failMalformed() {
+        call.cancel();
+        upstream.recordFailure(context.time().nanoTime());
+        fail(Verdict.MAY_HAVE_RUN, "malformed");
+    }
+
     private boolean streaming() {
         return exchange.isStream() && head.success();
     }
@@ -219,8 +254,11 @@
     }
 
     private void recordByte() {
-        lastByteNanos = context.time().nanoTime();
-        upstream.recordByte(lastByteNanos);
+        upstream.recordByte(context.time().nanoTime());
+    }
+
+    private void recordProgress() {
+        lastProgressNanos = context.time().nanoTime();
     }
 
     /** Is also called at the end of an attempt without a first byte, since its prompt is no longer pending then. */
