Read changes of the list of upstreams that come close together at once

Cause: each entry read each change of the list by a call of its own, so the calls at the store grow with entries times changes; a version change of the whole fleet changes every listing several times within seconds.

Change: after a read with changes, an entry waits 400 ms before it reads the list again. The operator's directory is still read again at once.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -24,7 +24,7 @@
     private final FleetStore store;
     private final EventLoop loop;
     private final TimeSource time;
-    private final Duration maxWait;
+    private final Timing timing;
     private final Listener listener;
     private final DecisionLog log;
     private long nextOffset = -1;
@@ -36,14 +36,14 @@
             FleetStore store,
             EventLoop loop,
             TimeSource time,
-            Duration maxWait,
+            Timing timing,
             Listener listener,
             DecisionLog log) {
         this.directory = directory;
         this.store = store;
         this.loop = loop;
         this.time = time;
-        this.maxWait = maxWait;
+        this.timing = timing;
         this.listener = listener;
         this.log = log;
     }
@@ -55,7 +55,7 @@
      * @param store store that holds the directory
      * @param loop event loop
      * @param time clock
-     * @param maxWait maximum time that the store may wait for a change before it answers
+     * @param timing times between reads
      * @param listener receives the changes
      * @param log decision log
      */
@@ -64,7 +64,7 @@
             FleetStore store,
             EventLoop loop,
             TimeSource time,
-            Duration maxWait,
+            Timing timing,
             Listener listener,
             DecisionLog log) {
         return new DirectoryFollower(
@@ -72,7 +72,7 @@
                 Objects.requireNonNull(store, "store"),
                 loop,
                 time,
-                maxWait,
+                Objects.requireNonNull(timing, "timing"),
                 Objects.requireNonNull(listener, "listener"),
                 log);
     }
@@ -95,7 +95,10 @@
             store.readAll(directory, reply -> handleReply(reply, startNanos, readGeneration, true));
         } else {
             store.readFrom(
-                    directory, nextOffset, maxWait, reply -> handleReply(reply, startNanos, readGeneration, false));
+                    directory,
+                    nextOffset,
+                    timing.maxWait(),
+                    reply -> handleReply(reply, startNanos, readGeneration, false));
         }
     }
 
@@ -130,12 +133,13 @@
             listener.changed(directory, reply.changes());
         }
         // A read without records lasted for the whole wait, so no newer record existed at its end.
-        long waitedNanos =
-                fullRead || !reply.changes().isEmpty() ? 0 : Math.min(maxWait.toNanos(), time.nanoTime() - startNanos);
-        listener.confirmed(directory, startNanos + waitedNanos);
-        boolean returnedEarly =
-                !fullRead && reply.changes().isEmpty() && time.nanoTime() - startNanos < maxWait.toNanos() / 2;
-        if (returnedEarly) {
+        boolean unchanged = !fullRead && reply.changes().isEmpty();
+        long elapsedNanos = time.nanoTime() - startNanos;
+        long maxWaitNanos = timing.maxWait().toNanos();
+        listener.confirmed(directory, startNanos + (unchanged ? Math.min(maxWaitNanos, elapsedNanos) : 0));
+        if (!unchanged) {
+            readAfterDelay(timing.changeInterval().toMillis());
+        } else if (elapsedNanos < maxWaitNanos / 2) {
             readAfterDelay(RETRY_DELAY.toMillis());
         } else {
             read();
@@ -152,6 +156,10 @@
     }
 
     private void readAfterDelay(long delayMillis) {
+        if (delayMillis == 0) {
+            read();
+            return;
+        }
         int readGeneration = generation;
         loop.schedule(
                 () -> {
@@ -163,6 +171,14 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Times between reads.
+     *
+     * @param maxWait maximum time that the store may wait for a change before it answers
+     * @param changeInterval time after a change until the next read, so that one read returns all changes of that time
+     */
+    public record Timing(Duration maxWait, Duration changeInterval) {}
+
     /** Receives the records of a directory and the state of the store. */
     public interface Listener {
         /** Called with all records after a full read of the directory. */
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -50,14 +50,16 @@
 
 /** An entry: admits the requests of callers and routes each one to an upstream. Runs on one event loop. */
 public final class EntryNode implements ExchangeContext, Node {
+    /** The long poll of the operator directory lasts a third of the time within which a removed key must be refused. */
+    private static final DirectoryFollower.Timing OPERATOR_READS =
+            new DirectoryFollower.Timing(Duration.ofMillis(1300), Duration.ZERO);
+
     /**
-     * Long-poll timeout of reads of the operator directory: a third of the time within which a removed key must be
-     * refused.
+     * Each entry reads each change of the list of upstreams, so changes that come close together share a read. The
+     * interval is short against the time for which a leaving upstream still serves.
      */
-    private static final Duration OPERATOR_POLL_TIMEOUT = Duration.ofMillis(1300);
-
-    /** Long-poll timeout of reads of the list of upstreams. */
-    private static final Duration UPSTREAMS_POLL_TIMEOUT = Duration.ofMillis(2000);
+    private static final DirectoryFollower.Timing UPSTREAMS_READS =
+            new DirectoryFollower.Timing(Duration.ofMillis(2000), Duration.ofMillis(400));
 
     /**
      * Time before the version change bound at which the old version gets no new requests, because a request may still
@@ -133,10 +135,9 @@
         this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
         this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
         FleetStore store = dependencies.store();
-        this.operatorFollower =
-                DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_POLL_TIMEOUT, fleet, log);
+        this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
         this.upstreamsFollower =
-                DirectoryFollower.of(Directory.UPSTREAMS, store, loop, time, UPSTREAMS_POLL_TIMEOUT, fleet, log);
+                DirectoryFollower.of(Directory.UPSTREAMS, store, loop, time, UPSTREAMS_READS, fleet, log);
     }
 
     /**
