--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
@@ -57,4 +57,36 @@
             assertThat(reader.hasGap()).isTrue();
         }
     }
+
+    @Nested
+    class BytesThatAreNoStream {
+        /** Guards against memory that grows with an event that never ends. */
+        @Test
+        void areInvalidWhenAnEventHasNoEnd() {
+            EventReader reader = EventReader.after(0);
+            read(reader, "id: 1\ndata: " + "x".repeat(60_000));
+            assertThat(reader.invalid()).isFalse();
+            read(reader, "x".repeat(10_000));
+            assertThat(reader.invalid()).isTrue();
+        }
+
+        /** Guards against a stalled stream that is kept alive by events that say nothing. */
+        @Test
+        void areInvalidWhenNoEventHasAnId() {
+            EventReader reader = EventReader.after(0);
+            read(reader, ":\n\n".repeat(64));
+            assertThat(reader.invalid()).isFalse();
+            read(reader, ":\n\n");
+            assertThat(reader.invalid()).isTrue();
+            assertThat(reader.lastEventId()).isZero();
+        }
+
+        /** Guards against an exception on an id that no long holds. */
+        @Test
+        void areInvalidWhenAnIdIsNoNumberOfEvents() {
+            EventReader reader = EventReader.after(0);
+            assertThat(read(reader, "id: " + "9".repeat(40) + "\ndata: a\n\n")).isEmpty();
+            assertThat(reader.invalid()).isTrue();
+        }
+    }
 }
