Load new weights in two halves of each region, and two versions at a time

Cause: an engine finishes its running responses before it loads, 1 to 5 s in which it accepts nothing.

Change: LoadTurn decides without a network who may stop serving: one half of a region serves while the other loads, unless its version is no longer used. The second half goes on with a newer version at once, the first half finishes the older one; both still give out the pieces of the version before. Sidecars state the served version with their pieces. An engine that has begun to load needs its pieces no more, so the next version is fetched meanwhile.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
@@ -55,6 +55,12 @@
         return versions == null ? OptionalLong.empty() : OptionalLong.of(versions.lastKey());
     }
 
+    /** Returns the time since this process learned of a version; zero if it does not know it. */
+    public Duration age(String model, long version) {
+        Long learned = learnedNanos.getOrDefault(model, new TreeMap<>()).get(version);
+        return learned == null ? Duration.ZERO : time.since(learned);
+    }
+
     /** Returns the newest named version of each model. */
     public Map<String, Long> newest() {
         Map<String, Long> newestByModel = new HashMap<>();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -61,12 +61,6 @@
     private static final DirectoryFollower.Timing UPSTREAMS_READS =
             new DirectoryFollower.Timing(Duration.ofMillis(2000), Duration.ofMillis(400));
 
-    /**
-     * Time before the version change bound at which the old version gets no new requests, because a request may still
-     * wait in the queue of an engine.
-     */
-    private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
-
     /**
      * Fraction of the retry share set by the operators that an entry uses, because the share may be checked over other
      * windows of time than those of the entry.
@@ -390,7 +384,7 @@
     }
 
     private OptionalLong oldestAllowedVersion(String service) {
-        Duration bound = settings.bounds().versionChange().minus(VERSION_MARGIN);
+        Duration bound = settings.bounds().olderVersionSends();
         return profile(service)
                 .map(profile -> namedVersions.oldestAllowed(profile.model(), bound))
                 .orElse(OptionalLong.empty());
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -65,5 +65,16 @@
      * @param retryWindow length of the window
      */
     public record Bounds(
-            Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {}
+            Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
+        /**
+         * Time before the bound on version changes at which engines of an older version get no new requests, because a
+         * request may still wait in the queue of an engine.
+         */
+        private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
+
+        /** Returns the time after the naming of a version for which entries send to engines of an older one. */
+        public Duration olderVersionSends() {
+            return versionChange.minus(VERSION_MARGIN);
+        }
+    }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -248,25 +248,26 @@
      * this sidecar.
      */
     private void announceManifest() {
-        updater.heldPieces(uploads.freeSlots()).ifPresent(held -> {
-            Datagram datagram = Datagram.newBuilder().setHeld(held).build();
-            updater.peerIps().forEach(ip -> datagrams.send(new Address(ip, settings.peerPort()), datagram));
-        });
+        announce(updater.heldPieces(uploads.freeSlots()), updater.peerIps());
     }
 
     /** Announces the held pieces to the own region, and less often to the other regions. */
     private void announcePieces() {
-        Optional<HeldPieces> held = updater.heldPieces(uploads.freeSlots());
-        announcing = held.isPresent();
+        List<HeldPieces> held = updater.heldPieces(uploads.freeSlots());
+        announcing = !held.isEmpty();
         if (!announcing) {
             return;
         }
         loop.schedule(this::announcePieces, ANNOUNCEMENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         announcements++;
-        Datagram datagram = Datagram.newBuilder().setHeld(held.get()).build();
         boolean everywhere = announcements % ANNOUNCEMENTS_PER_BROADCAST == 0;
-        for (String ip : everywhere ? updater.peerIps() : updater.regionPeerIps()) {
-            datagrams.send(new Address(ip, settings.peerPort()), datagram);
+        announce(held, everywhere ? updater.peerIps() : updater.regionPeerIps());
+    }
+
+    private void announce(List<HeldPieces> held, List<String> ips) {
+        for (HeldPieces pieces : held) {
+            Datagram datagram = Datagram.newBuilder().setHeld(pieces).build();
+            ips.forEach(ip -> datagrams.send(new Address(ip, settings.peerPort()), datagram));
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -19,6 +19,7 @@
     private boolean orderSent;
     private long orderSentNanos;
     private long requestedVersion;
+    private long begunVersion;
 
     EngineLoader(LocalEngine engine, TimeSource time, DecisionLog log, WeightsMetrics metrics) {
         this.engine = engine;
@@ -31,6 +32,12 @@
     void reset() {
         orderSent = false;
         requestedVersion = 0;
+        begunVersion = 0;
+    }
+
+    /** Returns whether the engine has accepted the order to load a version; it no longer needs the staged pieces. */
+    boolean begun(long version) {
+        return begunVersion == version;
     }
 
     /**
@@ -66,6 +73,9 @@
 
     private void recordOutcome(String model, long version, long ordersBegun, LocalEngine.OrderOutcome outcome) {
         metrics.ordered(outcome.name());
+        if (outcome == LocalEngine.OrderOutcome.BEGUN) {
+            begunVersion = version;
+        }
         log.write(
                 Event.ENGINE_ORDER,
                 "order",
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.masticcroft.gateway.fleet.FleetChange;
 import org.masticcroft.gateway.fleet.UpstreamListing;
@@ -23,10 +26,15 @@
     /** Age after which an announcement is ignored; sidecars repeat them several times per second. */
     private static final Duration ANNOUNCEMENT_LIFETIME = Duration.ofMillis(2500);
 
+    /** Versions that a peer announces pieces of: the one it fetches and the one before. */
+    private static final int MAX_VERSIONS = 2;
+
     private final TimeSource time;
     private final String ownIp;
     private final Map<String, UpstreamListing> listingByIp = new HashMap<>();
-    private final Map<String, Announcement> announcements = new HashMap<>();
+    /** The newest announcement of each peer for each version that it holds pieces of. */
+    private final Map<String, TreeMap<Long, Announcement>> announcements = new HashMap<>();
+
     private final Map<String, Long> failureNanos = new HashMap<>();
 
     private Peers(TimeSource time, String ownIp) {
@@ -61,10 +69,8 @@
         return List.copyOf(ips);
     }
 
-    /**
-     * Returns the IP addresses of the sidecars of a region, including this one; all are assumed to lack the version.
-     */
-    List<String> regionMembers(long version, Map<String, String> regionByDataCentre, String region) {
+    /** Returns the IP addresses of the sidecars of a region, including this one. */
+    List<String> regionMembers(Map<String, String> regionByDataCentre, String region) {
         List<String> members = new ArrayList<>();
         members.add(ownIp);
         listingByIp.forEach((ip, listing) -> {
@@ -80,9 +86,13 @@
 
     /** Records the pieces that a peer announces. */
     void recordAnnouncement(Address sender, HeldPieces held) {
-        announcements.put(
-                sender.ip(),
+        TreeMap<Long, Announcement> ofPeer = announcements.computeIfAbsent(sender.ip(), ip -> new TreeMap<>());
+        ofPeer.put(
+                held.getVersion(),
                 new Announcement(held, BitSet.valueOf(held.getBitmap().toByteArray()), time.nanoTime()));
+        if (ofPeer.size() > MAX_VERSIONS) {
+            ofPeer.pollFirstEntry();
+        }
     }
 
     /** Records that a peer failed to return a piece. */
@@ -94,24 +104,19 @@
     List<FetchView.Peer> holders(
             String model, long version, Map<String, String> regionByDataCentre, String region, long sinceStartMillis) {
         List<FetchView.Peer> peers = new ArrayList<>();
-        announcements.forEach((ip, announcement) -> {
-            if (announcement.isFor(model, version)
-                    && time.since(announcement.receivedNanos()).compareTo(ANNOUNCEMENT_LIFETIME) < 0) {
-                UpstreamListing listing = listingByIp.get(ip);
-                String zone = listing == null ? "" : listing.zone();
-                boolean sameRegion = regionByDataCentre.getOrDefault(zone, zone).equals(region);
-                long backoffMillis = failureNanos.containsKey(ip)
-                        ? FAILURE_BACKOFF
-                                .minus(time.since(failureNanos.get(ip)))
-                                .toMillis()
-                        : 0;
-                peers.add(new FetchView.Peer(
-                        ip,
-                        sameRegion,
-                        announcement.bitmap(),
-                        announcement.held().getFreeUploads(),
-                        sinceStartMillis + Math.max(0, backoffMillis)));
-            }
+        recent(model, version).forEach((ip, announcement) -> {
+            UpstreamListing listing = listingByIp.get(ip);
+            String zone = listing == null ? "" : listing.zone();
+            boolean sameRegion = regionByDataCentre.getOrDefault(zone, zone).equals(region);
+            long backoffMillis = failureNanos.containsKey(ip)
+                    ? FAILURE_BACKOFF.minus(time.since(failureNanos.get(ip))).toMillis()
+                    : 0;
+            peers.add(new FetchView.Peer(
+                    ip,
+                    sameRegion,
+                    announcement.bitmap(),
+                    announcement.held().getFreeUploads(),
+                    sinceStartMillis + Math.max(0, backoffMillis)));
         });
         return peers;
     }
@@ -123,13 +128,10 @@
     List<String> manifestHolders(String model, long version, Region region) {
         List<String> sameRegion = new ArrayList<>();
         List<String> all = new ArrayList<>();
-        announcements.forEach((ip, announcement) -> {
-            if (announcement.isFor(model, version)
-                    && time.since(announcement.receivedNanos()).compareTo(ANNOUNCEMENT_LIFETIME) < 0) {
-                all.add(ip);
-                if (isInRegion(ip, region.regionByDataCentre(), region.name())) {
-                    sameRegion.add(ip);
-                }
+        recent(model, version).keySet().forEach(ip -> {
+            all.add(ip);
+            if (isInRegion(ip, region.regionByDataCentre(), region.name())) {
+                sameRegion.add(ip);
             }
         });
         return sameRegion.isEmpty() ? all : sameRegion;
@@ -144,12 +146,57 @@
                         .equals(region);
     }
 
+    /** Returns the pieces of a version that at least one peer announces. */
+    BitSet heldByAny(String model, long version) {
+        BitSet held = new BitSet();
+        recent(model, version).values().forEach(announcement -> held.or(announcement.bitmap()));
+        return held;
+    }
+
+    /** Returns the versions that the peers with these addresses served when they last announced pieces; 0 for none. */
+    List<Long> servedVersions(Collection<String> ips) {
+        return latest().entrySet().stream()
+                .filter(entry -> ips.contains(entry.getKey()))
+                .map(entry -> entry.getValue().held().getServedVersion())
+                .toList();
+    }
+
+    /** Returns whether a peer announces that it serves an older version of a model, or none. */
+    boolean anyServesOlder(String model, long version) {
+        return latest().values().stream()
+                .anyMatch(announcement -> announcement.held().getModel().equals(model)
+                        && announcement.held().getServedVersion() < version);
+    }
+
     /** Returns whether a peer announces fewer pieces of a version than the given number. */
     boolean anyIncomplete(String model, long version, int pieceCount) {
-        return announcements.values().stream()
-                .anyMatch(announcement -> announcement.isFor(model, version)
-                        && time.since(announcement.receivedNanos()).compareTo(ANNOUNCEMENT_LIFETIME) < 0
-                        && announcement.bitmap().cardinality() < pieceCount);
+        return recent(model, version).values().stream()
+                .anyMatch(announcement -> announcement.bitmap().cardinality() < pieceCount);
+    }
+
+    private Map<String, Announcement> recent(String model, long version) {
+        Map<String, Announcement> recent = new HashMap<>();
+        announcements.forEach((ip, ofPeer) -> {
+            Announcement announcement = ofPeer.get(version);
+            if (announcement != null && announcement.isFor(model, version) && isRecent(announcement)) {
+                recent.put(ip, announcement);
+            }
+        });
+        return recent;
+    }
+
+    /** Returns the newest announcement of each live peer, of whichever version. */
+    private Map<String, Announcement> latest() {
+        Map<String, Announcement> latest = new HashMap<>();
+        announcements.forEach((ip, ofPeer) -> ofPeer.values().stream()
+                .filter(this::isRecent)
+                .max(Comparator.comparingLong(Announcement::receivedNanos))
+                .ifPresent(announcement -> latest.put(ip, announcement)));
+        return latest;
+    }
+
+    private boolean isRecent(Announcement announcement) {
+        return time.since(announcement.receivedNanos()).compareTo(ANNOUNCEMENT_LIFETIME) < 0;
     }
 
     /**
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
@@ -207,7 +207,7 @@
                 pieces.manifest().pieceCount(),
                 (BitSet) pieces.bitmap().clone(),
                 inProgress,
-                peers.regionMembers(pieces.manifest().version(), topology.regionByDataCentre(), topology.region()),
+                peers.regionMembers(topology.regionByDataCentre(), topology.region()),
                 holders,
                 sinceStart,
                 time.since(lastProgressNanos).toMillis(),
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -1,6 +1,8 @@
 package org.masticcroft.gateway.weights;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +12,7 @@
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.fleet.FleetChange;
+import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.log.DecisionLog;
@@ -45,12 +48,12 @@
     /**
      * Settings of the fetch planner; the times are milliseconds without progress. After 800, and 500 more for each
      * further sidecar, the next sidecar takes over a piece, so that a dead machine does not delay its region. After
-     * 3500, another region fetches from the origin; that is late because a crashed origin delays all regions alike and
-     * each further copy takes capacity of its link. After 1500, it does so if the region of the origin announces no
-     * pieces.
+     * 7000, another region fetches from the origin; that is later than a crashed origin is back, because its outage
+     * delays all regions alike and each further copy takes capacity of its link. After 1500, it does so if the region
+     * of the origin announces no pieces.
      */
     private static final RegionalSwarmPlanner.Parameters PLANNER_SETTINGS =
-            new RegionalSwarmPlanner.Parameters(OUTSIDE_WINDOW, 800, 500, 3500, 1500);
+            new RegionalSwarmPlanner.Parameters(OUTSIDE_WINDOW, 800, 500, 7000, 1500);
 
     private final NodeSettings settings;
     private final TimeSource time;
@@ -65,12 +68,16 @@
     private final StagedPieceReader stagedReader;
     private final EngineLoader loader;
     private final Runnable onManifestFound;
+    private final NamedVersions namedVersions;
     private Optional<GatewayConfig> config = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private String model = "";
     private long newestNamed = INITIAL_VERSION;
     private long target;
     private Optional<VerifiedPieces> pieces = Optional.empty();
+    /** Pieces of the version before the target, for other sidecars that still fetch it. */
+    private Optional<VerifiedPieces> previousPieces = Optional.empty();
+
     private Optional<PieceFetcher> fetcher = Optional.empty();
     private Optional<EngineStaging> staging = Optional.empty();
     private final Map<Integer, Integer> digestMismatches = new HashMap<>();
@@ -94,6 +101,7 @@
         this.weightsMetrics = WeightsMetrics.of(metrics);
         this.stagedReader = new StagedPieceReader(engine, log);
         this.loader = new EngineLoader(engine, time, log, weightsMetrics);
+        this.namedVersions = NamedVersions.empty(time);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newestNamed);
         metrics.gauge(
                 Series.of("masticcroft_weights_loaded_version"),
@@ -139,6 +147,11 @@
         if (namedModel.equals(model) && version > newestNamed) {
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newestNamed);
             newestNamed = version;
+            if (config.isPresent()) {
+                namedVersions.add(model, version);
+            } else {
+                namedVersions.addNamedBeforeStart(model, version);
+            }
             tick();
         }
     }
@@ -230,31 +243,41 @@
     }
 
     /**
-     * Returns the announcement of held pieces to the other sidecars; empty if no sidecar needs it.
+     * Returns the announcements of held pieces to the other sidecars; empty if no sidecar needs them.
      *
      * @param freeUploads uploads that this sidecar can start at once
      */
-    public Optional<HeldPieces> heldPieces(int freeUploads) {
-        if (pieces.isEmpty()) {
-            return Optional.empty();
-        }
-        VerifiedPieces current = pieces.get();
-        boolean needed = !current.complete()
-                || !upToDate()
-                || peers.anyIncomplete(model, target, current.manifest().pieceCount());
-        return needed
-                ? Optional.of(HeldPieces.newBuilder()
-                        .setModel(model)
-                        .setVersion(target)
-                        .setBitmap(ByteString.copyFrom(current.bitmap().toByteArray()))
-                        .setFreeUploads(freeUploads)
-                        .build())
-                : Optional.empty();
+    public List<HeldPieces> heldPieces(int freeUploads) {
+        List<HeldPieces> held = new ArrayList<>();
+        previousPieces
+                .filter(previous -> needsPieces(previous.manifest()))
+                .ifPresent(previous -> held.add(announcement(previous, freeUploads)));
+        pieces.filter(current -> !current.complete()
+                        || !upToDate()
+                        || peers.anyServesOlder(model, target)
+                        || needsPieces(current.manifest()))
+                .ifPresent(current -> held.add(announcement(current, freeUploads)));
+        return held;
+    }
+
+    private boolean needsPieces(Manifest manifest) {
+        return peers.anyIncomplete(model, manifest.version(), manifest.pieceCount());
+    }
+
+    private HeldPieces announcement(VerifiedPieces held, int freeUploads) {
+        return HeldPieces.newBuilder()
+                .setModel(model)
+                .setVersion(held.manifest().version())
+                .setBitmap(ByteString.copyFrom(held.bitmap().toByteArray()))
+                .setFreeUploads(freeUploads)
+                .setServedVersion(servedVersion())
+                .build();
     }
 
     /** Returns the manifest or piece that another sidecar requests; empty if this one does not hold it. */
     public Optional<byte[]> read(PeerWeightsRequest request) {
         return pieces.filter(current -> current.isFor(request.model(), request.version()))
+                .or(() -> previousPieces.filter(previous -> previous.isFor(request.model(), request.version())))
                 .flatMap(current -> {
                     if (request.piece().isEmpty()) {
                         return Optional.of(PeerWeightsRequest.encode(current.manifest()));
@@ -268,6 +291,26 @@
         return config.get().models().stream().findFirst().orElse("");
     }
 
+    private long servedVersion() {
+        return report.map(EngineReport::loadedVersion)
+                .orElse(OptionalLong.empty())
+                .orElse(0);
+    }
+
+    private boolean hasTurn() {
+        long oldestAllowed = namedVersions
+                .oldestAllowed(model, settings.bounds().olderVersionSends())
+                .orElse(0);
+        LoadTurn.Halves halves = halves();
+        return LoadTurn.mayLoad(
+                halves.own(), servedVersion(), target, oldestAllowed, peers.servedVersions(halves.others()));
+    }
+
+    private LoadTurn.Halves halves() {
+        return LoadTurn.Halves.of(
+                settings.ip(), peers.regionMembers(settings.regions(), settings.regionOf(settings.zone())));
+    }
+
     private boolean upToDate() {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
@@ -279,15 +322,12 @@
         if (target == newestNamed) {
             return;
         }
-        boolean nearlyComplete = pieces.isPresent()
-                && !isLoaded(target)
-                && pieces.get().bitmap().cardinality()
-                        >= NEARLY_COMPLETE_SHARE * pieces.get().manifest().pieceCount();
-        if (nearlyComplete) {
+        if (pieces.isPresent() && finishesTarget(pieces.get())) {
             return;
         }
         log.write(Event.PLACEMENT_DECISION, "model", model, "version", newestNamed, "previous", target);
         target = newestNamed;
+        previousPieces = pieces.or(() -> previousPieces);
         pieces = Optional.empty();
         fetcher.ifPresent(PieceFetcher::cancel);
         fetcher = Optional.empty();
@@ -298,6 +338,28 @@
         manifestFetcher.start(model, target);
     }
 
+    /**
+     * Returns whether the target version is finished although a newer one was named. Only the first half of a region
+     * does so while its engines serve; the second half loads the newer version at once and so stops serving only once.
+     */
+    private boolean finishesTarget(VerifiedPieces current) {
+        if (isLoaded(target) || loader.begun(target)) {
+            return false;
+        }
+        if (servedVersion() > 0 && halves().own() == LoadTurn.Half.SECOND) {
+            return false;
+        }
+        return completesSoon(current);
+    }
+
+    /** Returns whether most pieces are here, or all of them are in the fleet, so that the origin is not needed. */
+    private boolean completesSoon(VerifiedPieces current) {
+        int pieceCount = current.manifest().pieceCount();
+        BitSet held = peers.heldByAny(model, target);
+        held.or(current.bitmap());
+        return current.bitmap().cardinality() >= NEARLY_COMPLETE_SHARE * pieceCount || held.cardinality() == pieceCount;
+    }
+
     private boolean isLoaded(long version) {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
@@ -402,7 +464,7 @@
     }
 
     private void orderLoad() {
-        if (staging.isPresent() && pieces.get().complete()) {
+        if (staging.isPresent() && pieces.get().complete() && hasTurn()) {
             loader.loadWhenReady(staging.get(), model, target, report::get);
         }
     }
