Bound the announcements of a sidecar, and leave members of another version out

Cause: each sidecar announced its pieces to every other one, so datagrams grew with the square of the fleet, and each announcement rebuilt the view of all peers although no transfer could start.

Change: an announcement goes to at most 16 sidecars of the own region and 16 of others, in turn. The view is built only if a transfer is free. Owners are the members that announce the version or nothing.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -57,9 +57,15 @@
     /** Interval between announcements of held pieces while weights are being distributed. */
     private static final long ANNOUNCEMENT_INTERVAL_MILLIS = 120;
 
-    /** Every second announcement goes to all machines, the others only to the own region. */
+    /** Every second announcement also goes to other regions. */
     private static final int ANNOUNCEMENTS_PER_BROADCAST = 2;
 
+    /**
+     * Sidecars that one announcement goes to, in the own region and in all others. The recipients take turns, so that
+     * the datagrams of a sidecar do not grow with the fleet.
+     */
+    private static final int MAX_RECIPIENTS = 16;
+
     /** Reads of the report after which the load is sent although it has not changed. */
     private static final int MAX_UNCHANGED_REPORTS = 3;
 
@@ -88,6 +94,8 @@
     private final Map<Address, List<Long>> suspectsByEntry = new HashMap<>();
     private boolean reportPending;
     private boolean announcing;
+    private final TakeTurns<String> regionRecipients = TakeTurns.of(MAX_RECIPIENTS);
+    private final TakeTurns<String> otherRecipients = TakeTurns.of(MAX_RECIPIENTS);
     private int announcements;
     private int unchangedReports;
     private int sentLoadHash = -1;
@@ -260,8 +268,10 @@
         }
         loop.schedule(this::announcePieces, ANNOUNCEMENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         announcements++;
-        boolean everywhere = announcements % ANNOUNCEMENTS_PER_BROADCAST == 0;
-        announce(held, everywhere ? updater.peerIps() : updater.regionPeerIps());
+        announce(held, regionRecipients.next(updater.regionPeerIps()));
+        if (announcements % ANNOUNCEMENTS_PER_BROADCAST == 0) {
+            announce(held, otherRecipients.next(updater.otherRegionPeerIps()));
+        }
     }
 
     private void announce(List<HeldPieces> held, List<String> ips) {
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -84,6 +84,18 @@
         return members;
     }
 
+    /**
+     * Returns the members of a region that fetch a version or may do so. Those that announce only pieces of another
+     * version are left out, since a piece that were theirs to draw would wait for them.
+     */
+    List<String> fetchers(String model, long version, Map<String, String> regionByDataCentre, String region) {
+        Map<String, Announcement> onVersion = recent(model, version);
+        Map<String, Announcement> live = latest();
+        return regionMembers(regionByDataCentre, region).stream()
+                .filter(ip -> ip.equals(ownIp) || onVersion.containsKey(ip) || !live.containsKey(ip))
+                .toList();
+    }
+
     /** Records the pieces that a peer announces. */
     void recordAnnouncement(Address sender, HeldPieces held) {
         TreeMap<Long, Announcement> ofPeer = announcements.computeIfAbsent(sender.ip(), ip -> new TreeMap<>());
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
@@ -77,6 +77,14 @@
         return pieces;
     }
 
+    /**
+     * Returns whether an announcement may lead to another transfer now. In other regions than that of the origin, draws
+     * from the origin are a last resort that need not wait for an announcement.
+     */
+    boolean hasFreeTransfer() {
+        return peerTransferAllowed() || (topology.originInOwnRegion() && originAvailable());
+    }
+
     /** Starts transfers until the planner returns no further one. */
     void startTransfers() {
         while (!cancelled && !pieces.complete()) {
@@ -187,10 +195,14 @@
                 : originTransfers < MAX_ORIGIN_TRANSFERS;
     }
 
+    /** Transfers from peers must not use up the limit of those from the origin, whose link is the bottleneck. */
+    private boolean peerTransferAllowed() {
+        return inProgress.size() - originTransfers < MAX_PEER_TRANSFERS;
+    }
+
     private FetchView fetchView() {
         long sinceStart = time.since(startNanos).toMillis();
-        // Transfers from peers must not use up the limit of those from the origin, whose link is the bottleneck.
-        boolean peerTransferAllowed = inProgress.size() - originTransfers < MAX_PEER_TRANSFERS;
+        boolean peerTransferAllowed = peerTransferAllowed();
         List<FetchView.Peer> holders = peers
                 .holders(
                         pieces.manifest().model(),
@@ -207,7 +219,11 @@
                 pieces.manifest().pieceCount(),
                 (BitSet) pieces.bitmap().clone(),
                 inProgress,
-                peers.regionMembers(topology.regionByDataCentre(), topology.region()),
+                peers.fetchers(
+                        pieces.manifest().model(),
+                        pieces.manifest().version(),
+                        topology.regionByDataCentre(),
+                        topology.region()),
                 holders,
                 sinceStart,
                 time.since(lastProgressNanos).toMillis(),
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -48,12 +48,12 @@
     /**
      * Settings of the fetch planner; the times are milliseconds without progress. After 800, and 500 more for each
      * further sidecar, the next sidecar takes over a piece, so that a dead machine does not delay its region. After
-     * 7000, another region fetches from the origin; that is later than a crashed origin is back, because its outage
+     * 6000, another region fetches from the origin; that is later than a crashed origin is back, because its outage
      * delays all regions alike and each further copy takes capacity of its link. After 1500, it does so if the region
      * of the origin announces no pieces.
      */
     private static final RegionalSwarmPlanner.Parameters PLANNER_SETTINGS =
-            new RegionalSwarmPlanner.Parameters(OUTSIDE_WINDOW, 800, 500, 7000, 1500);
+            new RegionalSwarmPlanner.Parameters(OUTSIDE_WINDOW, 800, 500, 6000, 1500);
 
     private final NodeSettings settings;
     private final TimeSource time;
@@ -172,7 +172,7 @@
     public void applyHeldPieces(Address sender, HeldPieces held) {
         addNamedVersion(held.getModel(), held.getVersion());
         peers.recordAnnouncement(sender, held);
-        fetcher.ifPresent(PieceFetcher::startTransfers);
+        fetcher.filter(PieceFetcher::hasFreeTransfer).ifPresent(PieceFetcher::startTransfers);
     }
 
     /** Applies a report of the engine. */
@@ -236,10 +236,16 @@
 
     /** Returns the IP addresses of the other sidecars in the region of this one. */
     public List<String> regionPeerIps() {
-        String region = settings.regionOf(settings.zone());
-        return peers.ips().stream()
-                .filter(ip -> peers.isInRegion(ip, settings.regions(), region))
-                .toList();
+        return peers.ips().stream().filter(this::isInOwnRegion).toList();
+    }
+
+    /** Returns the IP addresses of the sidecars in other regions. */
+    public List<String> otherRegionPeerIps() {
+        return peers.ips().stream().filter(ip -> !isInOwnRegion(ip)).toList();
+    }
+
+    private boolean isInOwnRegion(String ip) {
+        return peers.isInRegion(ip, settings.regions(), settings.regionOf(settings.zone()));
     }
 
     /**
