Let each sidecar draw its own pieces first after an outage of the origin

A version that was nearly whole in the fleet was given up for a newer one whose origin then failed.

Change: a member draws the piece first for which it is nearest to the front of the owners. The older version is finished if 80 % of its pieces are in the fleet.

--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -39,6 +39,9 @@
     /** Share of held pieces from which the target version is completed although a newer one was named. */
     private static final double NEARLY_COMPLETE_SHARE = 0.5;
 
+    /** Share of pieces held anywhere in the fleet from which the same applies. */
+    private static final double FLEET_COMPLETE_SHARE = 0.8;
+
     /** Number of copies of one piece with a wrong digest after which the manifest is fetched again. */
     private static final int DIGEST_MISMATCHES_BEFORE_REFETCH = 3;
 
@@ -358,12 +361,13 @@
         return completesSoon(current);
     }
 
-    /** Returns whether most pieces are here, or all of them are in the fleet, so that the origin is not needed. */
+    /** Returns whether most pieces are here, or nearly all are in the fleet, so that the origin is hardly needed. */
     private boolean completesSoon(VerifiedPieces current) {
         int pieceCount = current.manifest().pieceCount();
         BitSet held = peers.heldByAny(model, target);
         held.or(current.bitmap());
-        return current.bitmap().cardinality() >= NEARLY_COMPLETE_SHARE * pieceCount || held.cardinality() == pieceCount;
+        return current.bitmap().cardinality() >= NEARLY_COMPLETE_SHARE * pieceCount
+                || held.cardinality() >= FLEET_COMPLETE_SHARE * pieceCount;
     }
 
     private boolean isLoaded(long version) {
--- a/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/rollout/RegionalSwarmPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -79,19 +80,29 @@
         return rarest < 0 ? Optional.empty() : Optional.of(fetchFromPeer(rarest, sources, random, "rarest-in-region"));
     }
 
+    /**
+     * Returns a fetch of the missing chunk for which this member is nearest to the front of the order of owners. After
+     * an outage, when every member may take over every chunk, each one thus begins with its own.
+     */
     private Optional<Fetch> nextFromOutside(FetchView view, UniformRandomProvider random) {
         BitSet inRegion = (BitSet) view.held().clone();
         view.peers().stream().filter(FetchView.Peer::sameRegion).forEach(peer -> inRegion.or(peer.chunks()));
+        List<Candidate> candidates = new ArrayList<>();
         int chunk = inRegion.nextClearBit(0);
         for (int missing = 0; missing < parameters.outsideWindow() && chunk < view.chunkCount(); missing++) {
-            if (!view.inProgress().contains(chunk) && isResponsible(chunk, view)) {
-                Optional<Fetch> fetch = fetchFromOutside(chunk, view, random);
-                if (fetch.isPresent()) {
-                    return fetch;
-                }
+            long position = view.inProgress().contains(chunk) ? Long.MAX_VALUE : position(chunk, view);
+            if (mayFetch(position, view)) {
+                candidates.add(new Candidate(chunk, position));
             }
             chunk = inRegion.nextClearBit(chunk + 1);
         }
+        candidates.sort(Comparator.comparingLong(Candidate::position));
+        for (Candidate candidate : candidates) {
+            Optional<Fetch> fetch = fetchFromOutside(candidate.chunk(), view, random);
+            if (fetch.isPresent()) {
+                return fetch;
+            }
+        }
         return Optional.empty();
     }
 
@@ -130,20 +141,25 @@
         return peer.freeUploadSlots() > 0 && peer.suspectedUntilMillis() <= view.sinceStartMillis();
     }
 
-    /** Returns whether this sidecar owns the chunk or has to take it over by now. */
-    private boolean isResponsible(int chunk, FetchView view) {
+    /** Returns the number of members before this one in the order of owners of a chunk. */
+    private static long position(int chunk, FetchView view) {
         long ownScore = RendezvousHash.score(chunk, view.self());
-        long position = 0;
-        for (String member : view.regionMembers()) {
-            if (RendezvousHash.score(chunk, member) > ownScore && !member.equals(view.self())) {
-                position++;
-            }
-        }
+        return view.regionMembers().stream()
+                .filter(member -> !member.equals(view.self()) && RendezvousHash.score(chunk, member) > ownScore)
+                .count();
+    }
+
+    /** Returns whether a member at a position in the order owns the chunk or has to take it over by now. */
+    private boolean mayFetch(long position, FetchView view) {
         return position == 0
-                || view.sinceLastProgressMillis()
-                        >= parameters.firstTakeoverMillis() + (position - 1) * parameters.takeoverStepMillis();
+                || position < view.regionMembers().size()
+                        && view.sinceLastProgressMillis()
+                                >= parameters.firstTakeoverMillis() + (position - 1) * parameters.takeoverStepMillis();
     }
 
+    /** A chunk that this member may fetch, and its position in the order of owners. */
+    private record Candidate(int chunk, long position) {}
+
     /**
      * Fetch window of a region and the times without progress after which its members use another source.
      *
--- a/kernel/src/test/java/org/masticcroft/kernel/rollout/RegionalSwarmPlannerTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/rollout/RegionalSwarmPlannerTest.java
@@ -58,6 +58,21 @@
                     .allMatch(member -> next(member, List.of(), 60_000, true).isPresent());
         }
 
+        /** Guards against members that all fetch the same chunk when a store is back after an outage. */
+        @Test
+        void letsEachMemberFetchItsOwnChunksFirstAfterAnOutage() {
+            Map<Integer, String> owners = new HashMap<>();
+            for (String member : MEMBERS) {
+                next(member, List.of(), 0, true).ifPresent(fetch -> owners.put(fetch.chunk(), member));
+            }
+            for (Map.Entry<Integer, String> owner : owners.entrySet()) {
+                assertThat(next(owner.getValue(), List.of(), 60_000, true)
+                                .orElseThrow()
+                                .chunk())
+                        .isEqualTo(owner.getKey());
+            }
+        }
+
         /** Guards against a region that fetches from a remote store although it can wait for peers near the store. */
         @Test
         void waitsForTheRegionOfTheStore() {
