Keep what a region needs to finish the older of two versions

Change: transfers in progress still add their pieces when a sidecar turns to another version; only the newest version that a sidecar announces counts for ownership; an older version is given up after 1.5 s without a piece.

--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -85,17 +86,22 @@
     }
 
     /**
-     * Returns the members of a region that fetch a version or may do so. Those that announce only pieces of another
-     * version are left out, since a piece that were theirs to draw would wait for them.
+     * Returns the members of a region that fetch a version or may do so. Those that announce pieces of a newer version,
+     * or only of an older one, are left out, since a piece that were theirs to draw would wait for them.
      */
-    List<String> fetchers(String model, long version, Map<String, String> regionByDataCentre, String region) {
-        Map<String, Announcement> onVersion = recent(model, version);
-        Map<String, Announcement> live = latest();
+    List<String> fetchers(long version, Map<String, String> regionByDataCentre, String region) {
         return regionMembers(regionByDataCentre, region).stream()
-                .filter(ip -> ip.equals(ownIp) || onVersion.containsKey(ip) || !live.containsKey(ip))
+                .filter(ip -> ip.equals(ownIp) || newestAnnounced(ip).orElse(version) == version)
                 .toList();
     }
 
+    private OptionalLong newestAnnounced(String ip) {
+        return announcements.getOrDefault(ip, new TreeMap<>()).values().stream()
+                .filter(this::isRecent)
+                .mapToLong(announcement -> announcement.held().getVersion())
+                .max();
+    }
+
     /** Records the pieces that a peer announces. */
     void recordAnnouncement(Address sender, HeldPieces held) {
         TreeMap<Long, Announcement> ofPeer = announcements.computeIfAbsent(sender.ip(), ip -> new TreeMap<>());
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
@@ -96,7 +96,12 @@
         }
     }
 
-    /** Starts no further transfers and ignores the replies of those in progress. */
+    /** Returns the time since the last piece was added, or since the start. */
+    Duration sinceProgress() {
+        return time.since(lastProgressNanos);
+    }
+
+    /** Starts no further transfers; those in progress only add their pieces to the verified ones. */
     void cancel() {
         cancelled = true;
     }
@@ -141,7 +146,12 @@
         inProgress.remove(fetch.chunk());
         busyPeers.remove(peer);
         originTransfers -= peer.isEmpty() ? 1 : 0;
-        if (cancelled || pieces.bitmap().get(fetch.chunk())) {
+        if (pieces.bitmap().get(fetch.chunk())) {
+            return;
+        }
+        if (cancelled) {
+            // The other sidecars may still need the piece.
+            data.ifPresent(bytes -> pieces.add(fetch.chunk(), bytes));
             return;
         }
         if (peer.isEmpty() && data.isPresent()) {
@@ -219,11 +229,7 @@
                 pieces.manifest().pieceCount(),
                 (BitSet) pieces.bitmap().clone(),
                 inProgress,
-                peers.fetchers(
-                        pieces.manifest().model(),
-                        pieces.manifest().version(),
-                        topology.regionByDataCentre(),
-                        topology.region()),
+                peers.fetchers(pieces.manifest().version(), topology.regionByDataCentre(), topology.region()),
                 holders,
                 sinceStart,
                 time.since(lastProgressNanos).toMillis(),
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -1,6 +1,7 @@
 package org.masticcroft.gateway.weights;
 
 import com.google.protobuf.ByteString;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -42,6 +43,9 @@
     /** Share of pieces held anywhere in the fleet from which the same applies. */
     private static final double FLEET_COMPLETE_SHARE = 0.8;
 
+    /** Time without a piece after which an older version is given up for a newer one. */
+    private static final Duration STALLED_FETCH = Duration.ofMillis(1500);
+
     /** Number of copies of one piece with a wrong digest after which the manifest is fetched again. */
     private static final int DIGEST_MISMATCHES_BEFORE_REFETCH = 3;
 
@@ -358,11 +362,14 @@
         if (servedVersion() > 0 && halves().own() == LoadTurn.Half.SECOND) {
             return false;
         }
-        return completesSoon(current);
+        return current.complete() || completesSoon(current);
     }
 
     /** Returns whether most pieces are here, or nearly all are in the fleet, so that the origin is hardly needed. */
     private boolean completesSoon(VerifiedPieces current) {
+        if (fetcher.isPresent() && fetcher.get().sinceProgress().compareTo(STALLED_FETCH) > 0) {
+            return false;
+        }
         int pieceCount = current.manifest().pieceCount();
         BitSet held = peers.heldByAny(model, target);
         held.or(current.bitmap());
