--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -19,6 +19,9 @@
     /** Added to the prediction for an upstream whose requests all fail; less in proportion if only some fail. */
     private static final double FAILURE_PENALTY_MILLIS = 2000;
 
+    /** Share of the stated slowness of an engine that counts in the prediction. */
+    private static final double PACE_WEIGHT = 0.5;
+
     /** Predicted duration of a request at a plain service, which has no cost model. */
     private static final double PLAIN_REQUEST_MILLIS = 60;
 
@@ -113,9 +116,17 @@
         return version.isPresent() && (minVersion.isEmpty() || version.getAsLong() >= minVersion.getAsLong());
     }
 
+    /**
+     * Returns the factor by which the prediction grows with the stated pace. A pace may have changed since the report,
+     * and an entry does not know the prompts that others have sent, so the whole factor would crowd the fast engines.
+     */
+    private static double slowness(double pace) {
+        return 1 + PACE_WEIGHT * (pace - 1);
+    }
+
     private double predict(QueuedRequest request, Upstream upstream, Optional<EngineProfile> profile, long nowNanos) {
         int load = upstream.load(nowNanos);
-        double millis = profile.map(costs -> upstream.pace(nowNanos)
+        double millis = profile.map(costs -> slowness(upstream.pace(nowNanos))
                         * (1.5 * costs.passMillis(load)
                                 + costs.prefillMillis(upstream.pendingPromptTokens() + request.promptTokens())))
                 .orElse(PLAIN_REQUEST_MILLIS
