Write a line for each load turn, and the pace of the chosen engine

Cause: an engine that holds complete weights and goes on serving left no line in the log, so nobody could tell why it did not load; the prediction of a routing decision could not be told from its inputs since the pace counts.

Change: event 1306 LOAD_TURN with its inputs whenever the decision changes; pace= in event 1200.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -185,6 +185,8 @@
                         upstream.reportAgeMillis(now).isPresent()
                                 ? upstream.reportAgeMillis(now).getAsLong()
                                 : "none",
+                        "pace",
+                        upstream.pace(now),
                         "weights",
                         upstream.servedVersion().isPresent()
                                 ? upstream.servedVersion().getAsLong()
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -87,6 +87,8 @@
 
     private Optional<PieceFetcher> fetcher = Optional.empty();
     private Optional<EngineStaging> staging = Optional.empty();
+    private boolean lastTurn;
+    private long lastTurnTarget;
     private final Map<Integer, Integer> digestMismatches = new HashMap<>();
 
     private WeightsUpdater(
@@ -315,8 +317,27 @@
                 .oldestAllowed(model, settings.bounds().olderVersionSends())
                 .orElse(0);
         LoadTurn.Halves halves = halves();
-        return LoadTurn.mayLoad(
-                halves.own(), servedVersion(), target, oldestAllowed, peers.servedVersions(halves.others()));
+        List<Long> others = peers.servedVersions(halves.others());
+        boolean turn = LoadTurn.mayLoad(halves.own(), servedVersion(), target, oldestAllowed, others);
+        if (turn != lastTurn || target != lastTurnTarget) {
+            lastTurn = turn;
+            lastTurnTarget = target;
+            log.write(
+                    Event.LOAD_TURN,
+                    "version",
+                    target,
+                    "load",
+                    turn,
+                    "half",
+                    halves.own(),
+                    "served",
+                    servedVersion(),
+                    "oldest_allowed",
+                    oldestAllowed,
+                    "others_serve",
+                    others);
+        }
+        return turn;
     }
 
     private LoadTurn.Halves halves() {
