--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -196,7 +196,9 @@
         Map<String, Announcement> recent = new HashMap<>();
         announcements.forEach((ip, ofPeer) -> {
             Announcement announcement = ofPeer.get(version);
-            if (announcement != null && announcement.isFor(model, version) && isRecent(announcement)) {
+            if (announcement != null
+                    && isRecent(announcement)
+                    && announcement.held().getModel().equals(model)) {
                 recent.put(ip, announcement);
             }
         });
@@ -225,9 +227,5 @@
      */
     record Region(String name, Map<String, String> regionByDataCentre) {}
 
-    private record Announcement(HeldPieces held, BitSet bitmap, long receivedNanos) {
-        private boolean isFor(String model, long version) {
-            return held.getModel().equals(model) && held.getVersion() == version;
-        }
-    }
+    private record Announcement(HeldPieces held, BitSet bitmap, long receivedNanos) {}
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
@@ -32,6 +32,18 @@
     /** Delay between two attempts while the origin fails; a crashed origin is back after some seconds. */
     private static final Duration ORIGIN_RETRY_DELAY = Duration.ofMillis(300);
 
+    /**
+     * Time for which a snapshot of the peers is used again. Taking one costs time in proportion to the fleet, and peers
+     * announce their pieces only every 120 ms.
+     */
+    private static final Duration SNAPSHOT_LIFETIME = Duration.ofMillis(25);
+
+    /**
+     * Time within which the other sidecars turn to a newly named version. Until then those that still announce an older
+     * one count as owners of pieces, so that a sidecar does not draw all of them itself.
+     */
+    private static final long TURN_MILLIS = 500;
+
     private final VerifiedPieces pieces;
     private final Topology topology;
     private final FetchPlanner planner;
@@ -49,6 +61,10 @@
     private boolean originFailing;
     private int originTransfers;
     private boolean cancelled;
+    private List<FetchView.Peer> holders = List.of();
+    private List<String> regionFetchers = List.of();
+    private boolean snapshotTaken;
+    private long snapshotNanos;
 
     PieceFetcher(
             VerifiedPieces pieces,
@@ -78,11 +94,14 @@
     }
 
     /**
-     * Returns whether an announcement may lead to another transfer now. In other regions than that of the origin, draws
-     * from the origin are a last resort that need not wait for an announcement.
+     * Starts transfers after an announcement of a peer, if one is free and the snapshot of the peers is old. In other
+     * regions than that of the origin, draws from the origin are a last resort that need not wait for an announcement.
      */
-    boolean hasFreeTransfer() {
-        return peerTransferAllowed() || (topology.originInOwnRegion() && originAvailable());
+    void onAnnouncement() {
+        boolean free = peerTransferAllowed() || (topology.originInOwnRegion() && originAvailable());
+        if (free && !snapshotIsFresh()) {
+            startTransfers();
+        }
     }
 
     /** Starts transfers until the planner returns no further one. */
@@ -181,6 +200,7 @@
                 corrupt ? "wrong-digest" : "not-given");
         if (!peer.isEmpty()) {
             peers.markFailed(peer);
+            snapshotTaken = false;
         } else if (!corrupt) {
             originFailing = true;
             originFailureNanos = time.nanoTime();
@@ -205,6 +225,28 @@
                 : originTransfers < MAX_ORIGIN_TRANSFERS;
     }
 
+    private boolean snapshotIsFresh() {
+        return snapshotTaken && time.since(snapshotNanos).compareTo(SNAPSHOT_LIFETIME) < 0;
+    }
+
+    private void takeSnapshot(long sinceStartMillis) {
+        if (snapshotIsFresh()) {
+            return;
+        }
+        snapshotTaken = true;
+        snapshotNanos = time.nanoTime();
+        Manifest manifest = pieces.manifest();
+        holders = peers.holders(
+                manifest.model(),
+                manifest.version(),
+                topology.regionByDataCentre(),
+                topology.region(),
+                sinceStartMillis);
+        regionFetchers = sinceStartMillis < TURN_MILLIS
+                ? peers.regionMembers(topology.regionByDataCentre(), topology.region())
+                : peers.fetchers(manifest.version(), topology.regionByDataCentre(), topology.region());
+    }
+
     /** Transfers from peers must not use up the limit of those from the origin, whose link is the bottleneck. */
     private boolean peerTransferAllowed() {
         return inProgress.size() - originTransfers < MAX_PEER_TRANSFERS;
@@ -213,14 +255,8 @@
     private FetchView fetchView() {
         long sinceStart = time.since(startNanos).toMillis();
         boolean peerTransferAllowed = peerTransferAllowed();
-        List<FetchView.Peer> holders = peers
-                .holders(
-                        pieces.manifest().model(),
-                        pieces.manifest().version(),
-                        topology.regionByDataCentre(),
-                        topology.region(),
-                        sinceStart)
-                .stream()
+        takeSnapshot(sinceStart);
+        List<FetchView.Peer> usable = holders.stream()
                 .map(peer ->
                         peerTransferAllowed && !busyPeers.contains(peer.instance()) ? peer : withoutUploadSlots(peer))
                 .toList();
@@ -229,8 +265,8 @@
                 pieces.manifest().pieceCount(),
                 (BitSet) pieces.bitmap().clone(),
                 inProgress,
-                peers.fetchers(pieces.manifest().version(), topology.regionByDataCentre(), topology.region()),
-                holders,
+                regionFetchers,
+                usable,
                 sinceStart,
                 time.since(lastProgressNanos).toMillis(),
                 new FetchView.Store(topology.originInOwnRegion(), originAvailable() ? 0 : sinceStart + 1));
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -181,7 +181,7 @@
     public void applyHeldPieces(Address sender, HeldPieces held) {
         addNamedVersion(held.getModel(), held.getVersion());
         peers.recordAnnouncement(sender, held);
-        fetcher.filter(PieceFetcher::hasFreeTransfer).ifPresent(PieceFetcher::startTransfers);
+        fetcher.ifPresent(PieceFetcher::onAnnouncement);
     }
 
     /** Applies a report of the engine. */
