End the announcements of a version that nobody fetches any more

Cause: sidecars that turned to a newer version with pieces of the older one missing saw one another as incomplete, and announced the older one for ever. Found by reading.

Change: only peers whose newest announcement is of the version count.

Result: PeersTest.Announcements; before, the new test fails.

--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -186,10 +186,14 @@
                         && announcement.held().getServedVersion() < version);
     }
 
-    /** Returns whether a peer announces fewer pieces of a version than the given number. */
+    /**
+     * Returns whether a peer fetches a version, of which it announces fewer pieces than the given number. Peers that have
+     * turned to a newer version do not count, or they would announce to one another for ever what they lack.
+     */
     boolean anyIncomplete(String model, long version, int pieceCount) {
-        return recent(model, version).values().stream()
-                .anyMatch(announcement -> announcement.bitmap().cardinality() < pieceCount);
+        return recent(model, version).entrySet().stream()
+                .anyMatch(entry -> entry.getValue().bitmap().cardinality() < pieceCount
+                        && newestAnnounced(entry.getKey()).orElse(version) == version);
     }
 
     private Map<String, Announcement> recent(String model, long version) {
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
@@ -64,7 +64,18 @@
             announce("10.0.0.2", 2, 1);
             announce("10.0.0.2", 3, 1);
 
+            assertThat(peers.holders("m", 2, REGIONS, "r", 0)).hasSize(1);
+            assertThat(peers.holders("m", 3, REGIONS, "r", 0)).hasSize(1);
+        }
+
+        /** Guards against sidecars that announce for ever what they lack of a version which nobody fetches. */
+        @Test
+        void ofAVersionThatNobodyFetchesAreNotNeeded() {
+            announce("10.0.0.2", 2, 1);
             assertThat(peers.anyIncomplete("m", 2, 4)).isTrue();
+            announce("10.0.0.2", 3, 1);
+
+            assertThat(peers.anyIncomplete("m", 2, 4)).isFalse();
             assertThat(peers.anyIncomplete("m", 3, 4)).isTrue();
         }
 
