--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -187,8 +187,8 @@
     }
 
     /**
-     * Returns whether a peer fetches a version, of which it announces fewer pieces than the given number. Peers that have
-     * turned to a newer version do not count, or they would announce to one another for ever what they lack.
+     * Returns whether a peer fetches a version of which it announces fewer pieces than the given number. Peers that
+     * have turned to a newer version do not count, or they would announce to one another for ever what they lack.
      */
     boolean anyIncomplete(String model, long version, int pieceCount) {
         return recent(model, version).entrySet().stream()
