--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -76,19 +76,19 @@
     private final EngineLoader loader;
     private final Runnable onManifestFound;
     private final NamedVersions namedVersions;
+    private final RegionTurns turns;
     private Optional<GatewayConfig> config = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private String model = "";
     private long newestNamed = INITIAL_VERSION;
     private long target;
     private Optional<VerifiedPieces> pieces = Optional.empty();
+
     /** Pieces of the version before the target, for other sidecars that still fetch it. */
     private Optional<VerifiedPieces> previousPieces = Optional.empty();
 
     private Optional<PieceFetcher> fetcher = Optional.empty();
     private Optional<EngineStaging> staging = Optional.empty();
-    private boolean lastTurn;
-    private long lastTurnTarget;
     private final Map<Integer, Integer> digestMismatches = new HashMap<>();
 
     private WeightsUpdater(
@@ -111,6 +111,7 @@
         this.stagedReader = new StagedPieceReader(engine, log);
         this.loader = new EngineLoader(engine, time, log, weightsMetrics);
         this.namedVersions = NamedVersions.empty(time);
+        this.turns = new RegionTurns(settings, peers, namedVersions, log);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newestNamed);
         metrics.gauge(
                 Series.of("masticcroft_weights_loaded_version"),
@@ -312,39 +313,6 @@
                 .orElse(0);
     }
 
-    private boolean hasTurn() {
-        long oldestAllowed = namedVersions
-                .oldestAllowed(model, settings.bounds().olderVersionSends())
-                .orElse(0);
-        LoadTurn.Halves halves = halves();
-        List<Long> others = peers.servedVersions(halves.others());
-        boolean turn = LoadTurn.mayLoad(halves.own(), servedVersion(), target, oldestAllowed, others);
-        if (turn != lastTurn || target != lastTurnTarget) {
-            lastTurn = turn;
-            lastTurnTarget = target;
-            log.write(
-                    Event.LOAD_TURN,
-                    "version",
-                    target,
-                    "load",
-                    turn,
-                    "half",
-                    halves.own(),
-                    "served",
-                    servedVersion(),
-                    "oldest_allowed",
-                    oldestAllowed,
-                    "others_serve",
-                    others);
-        }
-        return turn;
-    }
-
-    private LoadTurn.Halves halves() {
-        return LoadTurn.Halves.of(
-                settings.ip(), peers.regionMembers(settings.regions(), settings.regionOf(settings.zone())));
-    }
-
     private boolean upToDate() {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
@@ -380,7 +348,7 @@
         if (isLoaded(target) || loader.begun(target)) {
             return false;
         }
-        if (servedVersion() > 0 && halves().own() == LoadTurn.Half.SECOND) {
+        if (servedVersion() > 0 && turns.half() == LoadTurn.Half.SECOND) {
             return false;
         }
         return current.complete() || completesSoon(current);
@@ -502,7 +470,7 @@
     }
 
     private void orderLoad() {
-        if (staging.isPresent() && pieces.get().complete() && hasTurn()) {
+        if (staging.isPresent() && pieces.get().complete() && turns.mayLoad(model, servedVersion(), target)) {
             loader.loadWhenReady(staging.get(), model, target, report::get);
         }
     }
