State in the log how long the weights of a choice have been outdated

The log could not tell apart the hypotheses on requests that begin on old weights: event 1200 named the version but not the age of a newer one as this entry knows it, and no line said when a streamed response began. Events 1200 and 1202 now carry outdated_ms and first_byte_ms. Unit test of NamedVersions.outdatedFor; tests of entry and queue pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -63,6 +63,7 @@
     private int possibleRuns;
     private boolean mayHaveRun;
     private boolean responseStarted;
+    private Duration timeToFirstByte = Duration.ZERO;
     private boolean closed;
 
     private Exchange(
@@ -191,6 +192,8 @@
                         upstream.servedVersion().isPresent()
                                 ? upstream.servedVersion().getAsLong()
                                 : "none",
+                        "outdated_ms",
+                        context.outdatedFor(upstream).map(Duration::toMillis).orElse(0L),
                         "waited_ms",
                         (now - arrivalNanos) / 1_000_000,
                         "config",
@@ -225,6 +228,11 @@
         return route.kind() == RouteKind.STREAM;
     }
 
+    /** Returns the time from the last send to the first byte of a streamed response; zero if there was none. */
+    public Duration timeToFirstByte() {
+        return timeToFirstByte;
+    }
+
     boolean responseStarted() {
         return responseStarted;
     }
@@ -235,7 +243,8 @@
 
     void startResponse(int status, HttpHeaders headers) {
         responseStarted = true;
-        context.onFirstByte(this, attempt.age());
+        timeToFirstByte = attempt.age();
+        context.onFirstByte(this, timeToFirstByte);
         writer.start(status, headers);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.PooledHttpClient;
@@ -28,6 +30,9 @@
     /** Returns the version of the configuration in force, for the log. */
     long configVersion();
 
+    /** Returns for how long the version that an upstream serves has been outdated, for the log; empty if it is not. */
+    Optional<Duration> outdatedFor(Upstream upstream);
+
     /** Estimates how long a caller was waiting before its request arrived, because it had been refused earlier. */
     Duration priorWait(Route route, CallerRequest request);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.masticcroft.kernel.time.TimeSource;
@@ -61,6 +62,16 @@
         return learned == null ? Duration.ZERO : time.since(learned);
     }
 
+    /**
+     * Returns the time since this process learned that a version is no longer the newest of its model; empty if none is
+     * newer.
+     */
+    public Optional<Duration> outdatedFor(String model, long version) {
+        return learnedNanos.getOrDefault(model, new TreeMap<>()).tailMap(version, false).values().stream()
+                .map(time::since)
+                .max(Duration::compareTo);
+    }
+
     /** Returns the newest named version of each model. */
     public Map<String, Long> newest() {
         Map<String, Long> newestByModel = new HashMap<>();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -20,6 +20,7 @@
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
+import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.exchange.Exchange;
@@ -232,6 +233,15 @@
         return fleet.config().map(GatewayConfig::version).orElse(0L);
     }
 
+    @Override
+    public Optional<Duration> outdatedFor(Upstream upstream) {
+        OptionalLong version = upstream.servedVersion();
+        return version.isEmpty()
+                ? Optional.empty()
+                : profile(upstream.listing().service())
+                        .flatMap(profile -> namedVersions.outdatedFor(profile.model(), version.getAsLong()));
+    }
+
     @Override
     public Duration priorWait(Route route, CallerRequest request) {
         return request.deadline()
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestRecorder.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestRecorder.java
@@ -91,6 +91,8 @@
                 end.attempts().size(),
                 "ms",
                 duration.toMillis(),
+                "first_byte_ms",
+                exchange.timeToFirstByte().toMillis(),
                 "config",
                 configVersion(),
                 "config_age_ms",
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
@@ -47,6 +47,19 @@
         assertThat(versions.oldestAllowed("m", BOUND)).hasValue(3);
     }
 
+    // Guards against a log that does not show for how long an older version has been outdated.
+    @Test
+    void stateHowLongAVersionHasBeenOutdated() {
+        versions.add("m", 2);
+        time.advance(Duration.ofSeconds(4));
+        versions.add("m", 3);
+        time.advance(Duration.ofSeconds(1));
+        assertThat(versions.outdatedFor("m", 1)).contains(Duration.ofSeconds(5));
+        assertThat(versions.outdatedFor("m", 2)).contains(Duration.ofSeconds(1));
+        assertThat(versions.outdatedFor("m", 3)).isEmpty();
+        assertThat(versions.outdatedFor("other", 1)).isEmpty();
+    }
+
     @Test
     void keepTheFirstTimeOfAVersionThatIsNamedAgain() {
         versions.add("m", 2);
