--- a/standins/src/main/java/org/masticcroft/standins/platform/ScriptedUpstream.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/ScriptedUpstream.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -79,7 +80,7 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Request request = read(in); request != null; request = read(in)) {
                 requests.add(request);
-                script.serve(request, new Answer(socket));
+                script.serve(request, new Answer(socket, in));
             }
         } catch (IOException e) {
             // The peer has disconnected or the script has closed the connection.
@@ -141,9 +142,29 @@
     /** Writes to, closes or resets the connection of one request. */
     public static final class Answer {
         private final Socket socket;
+        private final InputStream in;
 
-        private Answer(Socket socket) {
+        private Answer(Socket socket, InputStream in) {
             this.socket = socket;
+            this.in = in;
+        }
+
+        /** Returns whether the peer still waits for the response, as an engine checks before it begins a request. */
+        public boolean awaited() throws IOException {
+            socket.setSoTimeout(1);
+            in.mark(1);
+            try {
+                if (in.read() < 0) {
+                    return false;
+                }
+                in.reset();
+            } catch (SocketTimeoutException e) {
+                // Nothing was received, so the connection is open.
+                return true;
+            } finally {
+                socket.setSoTimeout(0);
+            }
+            return true;
         }
 
         /** Sends text without framing, encoded as ISO 8859-1. */
