Send nothing to old weights that would begin after the bound, and withdraw what waits

What callers saw: a request began on an older version of the weights more than the bound after a newer one was acknowledged.

Cause: entries stopped sending to an older version a fixed 900 ms before the bound. The bound applies to the begin of a request, and a request may wait longer than that in the queue of a slow or stalled engine. Class of fault: a time limit that is checked when work is handed over, not when it takes effect.

Change: the version that a request needs is that of the time at which its engine begins it: the larger of the modelled time to the first byte, at the full stated pace, and the longest wait that was recently seen at this engine or that is still going on there. A request that has not begun shortly before the bound is withdrawn and sent to another engine, if it may be repeated. When no engine would begin in time, requests are refused at once.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
@@ -70,7 +69,7 @@
     }
 
     /** Dispatches a request to an upstream at once, queues it, or refuses it if it would wait too long. */
-    public void add(QueuedRequest request, Optional<EngineProfile> profile, OptionalLong minVersion) {
+    public void add(QueuedRequest request, Optional<EngineProfile> profile, VersionLimit limit) {
         long now = time.nanoTime();
         double priority = priority(request, now);
         if (!request.alreadySent() && !isLate(request, now)) {
@@ -78,13 +77,13 @@
         }
         if (waiting.stream().noneMatch(other -> priority(other, now) <= priority)) {
             Optional<QueuedRequest.Choice> choice =
-                    chooser.choose(request, table.ofService(service), profile, minVersion, now);
+                    chooser.choose(request, table.ofService(service), profile, limit, now);
             if (choice.isPresent()) {
                 dispatch(request, choice.get());
                 return;
             }
         }
-        if (!UpstreamChooser.anyServing(table.ofService(service), profile, minVersion, now)) {
+        if (!UpstreamChooser.anyServing(table.ofService(service), profile, limit, now)) {
             refuse(request, "no-upstream", OUTAGE_RETRY_AFTER);
             return;
         }
@@ -116,20 +115,20 @@
     }
 
     /** Dispatches waiting requests in order while upstreams have capacity, and refuses those that cannot be served. */
-    public void dispatchWaiting(Optional<EngineProfile> profile, OptionalLong minVersion) {
+    public void dispatchWaiting(Optional<EngineProfile> profile, VersionLimit limit) {
         long now = time.nanoTime();
         estimate.update(now, !waiting.isEmpty());
         if (waiting.isEmpty()) {
             return;
         }
         List<Upstream> upstreams = table.ofService(service);
-        if (!UpstreamChooser.anyServing(upstreams, profile, minVersion, now)) {
+        if (!UpstreamChooser.anyServing(upstreams, profile, limit, now)) {
             refuseAll();
             return;
         }
         while (!waiting.isEmpty()) {
             QueuedRequest first = first(now);
-            Optional<QueuedRequest.Choice> choice = chooser.choose(first, upstreams, profile, minVersion, now);
+            Optional<QueuedRequest.Choice> choice = chooser.choose(first, upstreams, profile, limit, now);
             if (choice.isEmpty()) {
                 break;
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -1,6 +1,8 @@
 package org.masticcroft.gateway.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Objects;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.fleet.UpstreamListing;
@@ -28,6 +30,9 @@
     /** Weight of the newest outcome in the smoothed share of failures. */
     private static final double FAILURE_SMOOTHING = 0.15;
 
+    /** Length of the windows in which the slowest first byte is kept; an engine stays slow for seconds. */
+    private static final Duration SLOWEST_FIRST_BYTE_WINDOW = Duration.ofSeconds(2);
+
     private final CircuitBreaker breaker = ConsecutiveFailureBreaker.of(BREAKER_FAILURES, BREAKER_OPEN_TIME);
     private UpstreamListing listing;
     private boolean removed;
@@ -42,12 +47,15 @@
     private long lastByteNanos;
     private long pausedUntilNanos;
     private int consecutiveRefusals;
+    private final RecentMaximum slowestFirstByte;
+    private final Deque<Long> unansweredSinceNanos = new ArrayDeque<>();
 
     private Upstream(UpstreamListing listing, long nowNanos) {
         this.listing = listing;
         this.servedVersion = listing.loadedVersion();
         this.lastByteNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
+        this.slowestFirstByte = RecentMaximum.over(SLOWEST_FIRST_BYTE_WINDOW, nowNanos);
     }
 
     /** Creates the state of a newly listed upstream. */
@@ -78,6 +86,18 @@
         return pendingPromptTokens;
     }
 
+    /**
+     * Returns the longest time that a request of this entry recently waited for its first byte here, or has waited so
+     * far.
+     */
+    public Duration longestRecentWait(long nowNanos) {
+        Duration slowest = slowestFirstByte.value(nowNanos);
+        Duration oldest = unansweredSinceNanos.isEmpty()
+                ? Duration.ZERO
+                : Duration.ofNanos(nowNanos - unansweredSinceNanos.getFirst());
+        return oldest.compareTo(slowest) > 0 ? oldest : slowest;
+    }
+
     /** Returns the smoothed share of requests that failed, from 0 to 1. */
     public double failureShare() {
         return failureShare;
@@ -168,11 +188,19 @@
         }
         breaker.tryAcquire(nowNanos);
         inFlight++;
+        unansweredSinceNanos.addLast(nowNanos);
         pendingPromptTokens += promptTokens;
     }
 
-    /** Records the first byte of a response, or that none is expected any more. */
-    public void recordFirstByte(double promptTokens) {
+    /** Records the first byte of a response to a request that was sent at a monotonic time. */
+    public void recordFirstByte(double promptTokens, long sentNanos, long nowNanos) {
+        slowestFirstByte.record(Duration.ofNanos(nowNanos - sentNanos), nowNanos);
+        recordNoFirstByte(promptTokens, sentNanos);
+    }
+
+    /** Records that no first byte is expected any more for a request that was sent at a monotonic time. */
+    public void recordNoFirstByte(double promptTokens, long sentNanos) {
+        unansweredSinceNanos.removeFirstOccurrence(sentNanos);
         pendingPromptTokens = Math.max(0, pendingPromptTokens - promptTokens);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -1,5 +1,6 @@
 package org.masticcroft.gateway.dispatch;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,6 +32,15 @@
      */
     private static final double MAX_PENDING_PREFILL_MILLIS = 150;
 
+    /** Passes of an engine until it generates the first tokens of a request that needs no prefill, on average. */
+    private static final double PASSES_BEFORE_FIRST_BYTE = 1.5;
+
+    /** Time for learning of a version, for the next check of open requests, and for the close to reach the engine. */
+    private static final Duration WITHDRAWAL_TIME = Duration.ofMillis(250);
+
+    /** Passes after which an engine has noticed that a connection was closed. */
+    private static final double PASSES_UNTIL_WITHDRAWN = 2;
+
     private final String zone;
 
     private UpstreamChooser(String zone) {
@@ -48,20 +58,20 @@
      * @param request request to dispatch
      * @param upstreams upstreams of its service
      * @param profile cost model of the service; empty for a plain service
-     * @param minVersion lowest version of the weights that may serve the request, if any is known
+     * @param versions oldest version of the weights that may serve the request
      * @param nowNanos monotonic time in nanoseconds
      */
     public Optional<QueuedRequest.Choice> choose(
             QueuedRequest request,
             List<Upstream> upstreams,
             Optional<EngineProfile> profile,
-            OptionalLong minVersion,
+            VersionLimit versions,
             long nowNanos) {
         Upstream best = null;
         double bestMillis = Double.MAX_VALUE;
         int candidates = 0;
         for (Upstream upstream : upstreams) {
-            if (!eligible(request, upstream, profile, minVersion, nowNanos)) {
+            if (!eligible(request, upstream, profile, versions, nowNanos)) {
                 continue;
             }
             candidates++;
@@ -78,17 +88,20 @@
 
     /** Returns whether any upstream may serve requests, even if it has no capacity now; not while it loads weights. */
     public static boolean anyServing(
-            List<Upstream> upstreams, Optional<EngineProfile> profile, OptionalLong minVersion, long nowNanos) {
+            List<Upstream> upstreams, Optional<EngineProfile> profile, VersionLimit versions, long nowNanos) {
         return upstreams.stream()
-                .anyMatch(upstream -> upstream.usable(nowNanos)
-                        && (profile.isEmpty() || (!upstream.loading(nowNanos) && servesVersion(upstream, minVersion))));
+                .filter(upstream -> upstream.usable(nowNanos))
+                .anyMatch(upstream -> profile.isEmpty()
+                        || (!upstream.loading(nowNanos)
+                                && servesVersion(
+                                        upstream, versions, untilBegin(0, upstream, profile.get(), nowNanos))));
     }
 
     private static boolean eligible(
             QueuedRequest request,
             Upstream upstream,
             Optional<EngineProfile> profile,
-            OptionalLong minVersion,
+            VersionLimit versions,
             long nowNanos) {
         if (!upstream.acceptsRequests(nowNanos) || request.triedUpstreams().contains(upstream.id())) {
             return false;
@@ -98,7 +111,8 @@
             return upstream.load(nowNanos) < slots * PLAIN_REQUESTS_PER_SLOT;
         }
         int limit = request.rank().route() == 0 ? slots + FIRST_RANK_QUEUE_LIMIT : slots;
-        return servesVersion(upstream, minVersion)
+        Duration untilBegin = untilBegin(request.promptTokens(), upstream, profile.get(), nowNanos);
+        return servesVersion(upstream, versions, untilBegin)
                 && !upstream.loading(nowNanos)
                 && upstream.load(nowNanos) < limit
                 && prefillFits(request, upstream, profile.get());
@@ -111,9 +125,34 @@
                 || profile.prefillMillis(pendingTokens + request.promptTokens()) <= MAX_PENDING_PREFILL_MILLIS;
     }
 
-    private static boolean servesVersion(Upstream upstream, OptionalLong minVersion) {
+    private static boolean servesVersion(Upstream upstream, VersionLimit versions, Duration untilBegin) {
         OptionalLong version = upstream.servedVersion();
-        return version.isPresent() && (minVersion.isEmpty() || version.getAsLong() >= minVersion.getAsLong());
+        OptionalLong oldest = versions.oldestAllowed(untilBegin);
+        return version.isPresent() && (oldest.isEmpty() || version.getAsLong() >= oldest.getAsLong());
+    }
+
+    /**
+     * Returns the time after which a request that is sent now has begun, or is withdrawn. It is a cautious estimate:
+     * other entries may have sent prompts that this one does not know of.
+     */
+    private static Duration untilBegin(int promptTokens, Upstream upstream, EngineProfile profile, long nowNanos) {
+        double modelMillis = upstream.pace(nowNanos) * timeToFirstByteMillis(promptTokens, upstream, profile, nowNanos);
+        Duration modelled = Duration.ofMillis((long) modelMillis);
+        Duration observed = upstream.longestRecentWait(nowNanos);
+        return (observed.compareTo(modelled) > 0 ? observed : modelled)
+                .plus(withdrawalLead(upstream, profile, nowNanos));
+    }
+
+    /** Returns the time before a bound at which a request must be withdrawn so that its engine does not begin it. */
+    public static Duration withdrawalLead(Upstream upstream, EngineProfile profile, long nowNanos) {
+        double passMillis = upstream.pace(nowNanos) * profile.passMillis(upstream.load(nowNanos));
+        return WITHDRAWAL_TIME.plusMillis((long) (PASSES_UNTIL_WITHDRAWN * passMillis));
+    }
+
+    private static double timeToFirstByteMillis(
+            int promptTokens, Upstream upstream, EngineProfile profile, long nowNanos) {
+        return PASSES_BEFORE_FIRST_BYTE * profile.passMillis(upstream.load(nowNanos))
+                + profile.prefillMillis(upstream.pendingPromptTokens() + promptTokens);
     }
 
     /**
@@ -127,8 +166,7 @@
     private double predict(QueuedRequest request, Upstream upstream, Optional<EngineProfile> profile, long nowNanos) {
         int load = upstream.load(nowNanos);
         double millis = profile.map(costs -> slowness(upstream.pace(nowNanos))
-                        * (1.5 * costs.passMillis(load)
-                                + costs.prefillMillis(upstream.pendingPromptTokens() + request.promptTokens())))
+                        * timeToFirstByteMillis(request.promptTokens(), upstream, costs, nowNanos))
                 .orElse(PLAIN_REQUEST_MILLIS
                         * (load + 1)
                         / Math.max(1, upstream.listing().slots()));
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -220,6 +220,23 @@
         }
     }
 
+    /**
+     * Withdraws the request from an upstream whose weights are about to become too old for it to begin there, and sends
+     * it to another one if it may be repeated.
+     */
+    public void checkWeightsVersion() {
+        if (closed
+                || attempt == null
+                || attempt.begun()
+                || attempt.weightsVersion().isEmpty()) {
+            return;
+        }
+        OptionalLong oldest = context.oldestVersionToAwait(attempt.upstream());
+        if (oldest.isPresent() && attempt.weightsVersion().getAsLong() < oldest.getAsLong()) {
+            attempt.withdraw("weights-outdated");
+        }
+    }
+
     public String service() {
         return service;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.masticcroft.gateway.config.Route;
@@ -30,7 +31,13 @@
     /** Returns the version of the configuration in force, for the log. */
     long configVersion();
 
-    /** Returns for how long the version that an upstream serves has been outdated, for the log; empty if it is not. */
+    /**
+     * Returns the oldest version of the weights with which a request that has not begun may go on waiting at an
+     * upstream; empty if any version may.
+     */
+    OptionalLong oldestVersionToAwait(Upstream upstream);
+
+    /** Returns for how long the version that an upstream serves has been outdated; empty if it is not. */
     Optional<Duration> outdatedFor(Upstream upstream);
 
     /** Estimates how long a caller was waiting before its request arrived, because it had been refused earlier. */
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.masticcroft.gateway.config.RouteKind;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.Call;
@@ -28,10 +29,12 @@
     private final ExchangeContext context;
     private final Upstream upstream;
     private final long startNanos;
+    private final OptionalLong weightsVersion;
     private Call call;
     private ResponseHead head;
     private HttpHeaders headers;
     private final ByteBuf body = Unpooled.buffer(0);
+    private boolean contentReceived;
     private boolean firstByteReceived;
     private boolean closed;
     private long lastProgressNanos;
@@ -41,6 +44,7 @@
         this.context = context;
         this.upstream = upstream;
         this.startNanos = context.time().nanoTime();
+        this.weightsVersion = upstream.servedVersion();
         this.lastProgressNanos = startNanos;
     }
 
@@ -98,6 +102,23 @@
         onFailure(sent ? CallFailure.TIMED_OUT : CallFailure.NOT_CONNECTED);
     }
 
+    /** Returns whether the upstream has begun to answer the request, with weights that no later version replaces. */
+    boolean begun() {
+        return contentReceived;
+    }
+
+    /** Returns the version of the weights that the request was sent for, if known. */
+    OptionalLong weightsVersion() {
+        return weightsVersion;
+    }
+
+    /** Fails the attempt because the upstream has not begun it in time; the upstream itself has not failed. */
+    void withdraw(String reason) {
+        boolean sent = call.sent();
+        call.cancel();
+        fail(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, reason);
+    }
+
     @Override
     public boolean accepts(HttpResponse response) {
         Optional<String> id = context.dialect().decode(response).attemptId();
@@ -116,6 +137,7 @@
     @Override
     public void onContent(ByteBuf content) {
         recordByte();
+        contentReceived = true;
         if (!streaming()) {
             addToBody(content);
             return;
@@ -261,18 +283,20 @@
         lastProgressNanos = context.time().nanoTime();
     }
 
-    /** Is also called at the end of an attempt without a first byte, since its prompt is no longer pending then. */
     private void recordFirstByte() {
         if (!firstByteReceived) {
             firstByteReceived = true;
-            upstream.recordFirstByte(exchange.promptTokens());
+            upstream.recordFirstByte(
+                    exchange.promptTokens(), startNanos, context.time().nanoTime());
         }
     }
 
     private void close() {
         if (!closed) {
             closed = true;
-            recordFirstByte();
+            if (!firstByteReceived) {
+                upstream.recordNoFirstByte(exchange.promptTokens(), startNanos);
+            }
             upstream.recordEnd();
             context.onCapacityFreed(upstream.listing().service());
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -23,6 +23,7 @@
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
+import org.masticcroft.gateway.dispatch.VersionLimit;
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeContext;
 import org.masticcroft.gateway.exchange.ExchangeOutcome;
@@ -233,6 +234,18 @@
         return fleet.config().map(GatewayConfig::version).orElse(0L);
     }
 
+    @Override
+    public OptionalLong oldestVersionToAwait(Upstream upstream) {
+        String service = upstream.listing().service();
+        return profile(service)
+                .map(profile -> {
+                    Duration lead = UpstreamChooser.withdrawalLead(upstream, profile, time.nanoTime());
+                    return namedVersions.oldestAllowed(
+                            profile.model(), settings.bounds().versionChange().minus(lead));
+                })
+                .orElse(OptionalLong.empty());
+    }
+
     @Override
     public Optional<Duration> outdatedFor(Upstream upstream) {
         OptionalLong version = upstream.servedVersion();
@@ -264,7 +277,7 @@
 
     @Override
     public void enqueue(Exchange exchange, String service) {
-        queue(service).add(exchange, profile(service), oldestAllowedVersion(service));
+        queue(service).add(exchange, profile(service), versionLimit(service));
     }
 
     @Override
@@ -306,7 +319,7 @@
     public void onCapacityFreed(String service) {
         ServiceQueue queue = queues.get(service);
         if (queue != null && queue.size() > 0) {
-            loop.execute(() -> queue.dispatchWaiting(profile(service), oldestAllowedVersion(service)));
+            loop.execute(() -> queue.dispatchWaiting(profile(service), versionLimit(service)));
         }
     }
 
@@ -351,16 +364,19 @@
         fleet.applyDeferredRemovals(time.nanoTime());
         queues.forEach((service, queue) -> {
             if (queue.size() > 0) {
-                queue.dispatchWaiting(profile(service), oldestAllowedVersion(service));
+                queue.dispatchWaiting(profile(service), versionLimit(service));
             }
         });
     }
 
-    /** Detects a suspension of the machine and stalled upstreams. */
+    /** Detects a suspension of the machine, stalled upstreams and requests that wait for outdated weights. */
     private void checkLiveness() {
         checkSuspension();
         long now = time.nanoTime();
-        List.copyOf(openExchanges).forEach(exchange -> exchange.checkStall(now));
+        List.copyOf(openExchanges).forEach(exchange -> {
+            exchange.checkWeightsVersion();
+            exchange.checkStall(now);
+        });
     }
 
     /** Reads the store again after a suspension, which voids the confirmation of the configuration. */
@@ -393,10 +409,11 @@
         datagrams.subscribe();
     }
 
-    private OptionalLong oldestAllowedVersion(String service) {
-        Duration bound = settings.bounds().olderVersionSends();
+    /** Returns the limit on the weights of a service for requests that are sent now. */
+    private VersionLimit versionLimit(String service) {
         return profile(service)
-                .map(profile -> namedVersions.oldestAllowed(profile.model(), bound))
-                .orElse(OptionalLong.empty());
+                .<VersionLimit>map(profile -> untilBegin -> namedVersions.oldestAllowed(
+                        profile.model(), settings.bounds().olderVersionSends(untilBegin)))
+                .orElse(VersionLimit.none());
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -72,7 +72,17 @@
          */
         private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
 
-        /** Returns the time after the naming of a version for which entries send to engines of an older one. */
+        /**
+         * Returns the time after the naming of a version for which entries send a request to an engine of an older one.
+         *
+         * @param untilBegin time from the send until the engine begins the request
+         */
+        public Duration olderVersionSends(Duration untilBegin) {
+            Duration sends = versionChange.minus(untilBegin);
+            return sends.compareTo(olderVersionSends()) < 0 ? sends : olderVersionSends();
+        }
+
+        /** Returns the longest time after the naming of a version for which entries send to engines of an older one. */
         public Duration olderVersionSends() {
             return versionChange.minus(VERSION_MARGIN);
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -58,7 +58,7 @@
     }
 
     private FakeRequest add(FakeRequest request, OptionalLong minVersion) {
-        queue.add(request, PROFILE, minVersion);
+        queue.add(request, PROFILE, untilBegin -> minVersion);
         return request;
     }
 
@@ -72,9 +72,9 @@
 
     private void complete(FakeRequest request) {
         Upstream upstream = request.choice.orElseThrow().upstream();
-        upstream.recordFirstByte(request.promptTokens());
+        upstream.recordFirstByte(request.promptTokens(), request.waitingSinceNanos(), time.nanoTime());
         upstream.recordEnd();
-        queue.dispatchWaiting(PROFILE, OptionalLong.empty());
+        queue.dispatchWaiting(PROFILE, VersionLimit.none());
     }
 
     @Nested
@@ -198,8 +198,8 @@
             assertThat(PROFILE.orElseThrow().prefillMillis(engine.pendingPromptTokens()))
                     .isLessThanOrEqualTo(150);
             assertThat(engine.inFlight()).isBetween(2, 4);
-            engine.recordFirstByte(10_000);
-            queue.dispatchWaiting(PROFILE, OptionalLong.empty());
+            engine.recordFirstByte(10_000, first.waitingSinceNanos(), time.nanoTime());
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
             assertThat(engine.inFlight()).isGreaterThan(4);
         }
 
@@ -272,7 +272,7 @@
             add("b", 1);
             for (int i = 0; i < 40; i++) {
                 time.advance(Duration.ofMillis(50));
-                queue.dispatchWaiting(PROFILE, OptionalLong.empty());
+                queue.dispatchWaiting(PROFILE, VersionLimit.none());
                 add("urgent" + i, 1);
             }
             assertThat(add("low", 2).refusal.orElseThrow().reason()).isEqualTo("expected-wait");
@@ -286,10 +286,26 @@
             add("b", 1);
             FakeRequest waiting = add("c", 1);
             assertThat(waiting.refusal).isEmpty();
-            queue.dispatchWaiting(PROFILE, OptionalLong.of(2));
+            queue.dispatchWaiting(PROFILE, untilBegin -> OptionalLong.of(2));
             assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-upstream");
         }
 
+        // Guards against requests that are queued for engines which would begin them only after the bound on their
+        // version.
+        @Test
+        void areGivenAtOnceWhenNoEngineWouldBeginInTime() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            Duration left = Duration.ofMillis(1000);
+            VersionLimit limit =
+                    untilBegin -> untilBegin.compareTo(left) > 0 ? OptionalLong.of(2) : OptionalLong.empty();
+            FakeRequest slow = add("a", 1);
+            time.advance(Duration.ofMillis(700));
+            FakeRequest late = request("b", new Rank(1, 1));
+            queue.add(late, PROFILE, limit);
+            assertThat(slow.choice).isPresent();
+            assertThat(late.refusal.orElseThrow().reason()).isEqualTo("no-upstream");
+        }
+
         // Guards against an outage being assumed when engines are only full for a moment.
         @Test
         void areNotGivenBecauseAnEngineJustRefusedARequest() {
@@ -299,7 +315,7 @@
             FakeRequest second = add("b", 1);
             assertThat(second.refusal).isEmpty();
             time.advance(Duration.ofMillis(60));
-            queue.dispatchWaiting(PROFILE, OptionalLong.empty());
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
             assertThat(second.choice).isPresent();
         }
 
@@ -310,7 +326,7 @@
             add("b", 2);
             FakeRequest waiting = add("c", 2);
             time.advance(CALLER_TIMEOUT.minusMillis(100));
-            queue.dispatchWaiting(PROFILE, OptionalLong.empty());
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
             assertThat(waiting.refusal.orElseThrow().reason()).isEqualTo("no-time-left");
         }
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -35,4 +35,18 @@
         assertThat(upstream.reportedAlive(Duration.ofMillis(900).toNanos())).isTrue();
         assertThat(upstream.reportedAlive(Duration.ofMillis(1100).toNanos())).isFalse();
     }
+
+    // Guards against sends to an engine that has become slow or has stalled, although nothing else shows it.
+    @Test
+    void statesTheLongestRecentWaitForAFirstByte() {
+        long second = Duration.ofSeconds(1).toNanos();
+        upstream.recordSend(10, 0);
+        upstream.recordSend(10, second / 2);
+        assertThat(upstream.longestRecentWait(second)).isEqualTo(Duration.ofSeconds(1));
+        upstream.recordFirstByte(10, 0, second);
+        assertThat(upstream.longestRecentWait(second)).isEqualTo(Duration.ofSeconds(1));
+        upstream.recordNoFirstByte(10, second / 2);
+        assertThat(upstream.longestRecentWait(3 * second)).isEqualTo(Duration.ofSeconds(1));
+        assertThat(upstream.longestRecentWait(9 * second)).isZero();
+    }
 }
