Count the bound on a version from before a pause of the process

Cause: an entry counted the bound from the moment at which it learned of the version. A frozen entry learns of it when it runs again, and the monotonic clock does not count a suspension at all. Class of fault: a time limit counted from the receipt of a message instead of from the event.

Change: an entry notices pauses of its own execution on both clocks. A version that it learns of just after a pause counts as named when the pause began, or when the store last confirmed that there was none. A suspension adds to the age of the versions that were known before.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
@@ -8,14 +8,14 @@
 import java.util.TreeMap;
 import org.masticcroft.kernel.time.TimeSource;
 
-/** The versions of weights that the operator has named, with the time at which this process learned of each one. */
+/** The versions of weights that the operator has named, with the earliest time at which each may have been named. */
 public final class NamedVersions {
     /** Assumed age of a version that was named before this process started. */
     private static final Duration AGE_OF_EARLIER_VERSIONS = Duration.ofHours(1);
 
     private final TimeSource time;
-    /** Monotonic time at which this process learned of each version, by model and version. */
-    private final Map<String, TreeMap<Long, Long>> learnedNanos = new HashMap<>();
+    /** Earliest monotonic time at which each version may have been named, by model and version. */
+    private final Map<String, TreeMap<Long, Long>> namedNanos = new HashMap<>();
 
     private NamedVersions(TimeSource time) {
         this.time = time;
@@ -27,13 +27,22 @@
     }
 
     /**
-     * Adds a version that this process has just learned of; returns whether it is newer than all known ones of the
-     * model.
+     * Adds a version that was named just now; returns whether it is newer than all known ones of the model.
      */
     public boolean add(String model, long version) {
-        TreeMap<Long, Long> versions = learnedNanos.computeIfAbsent(model, key -> new TreeMap<>());
+        return add(model, version, Duration.ZERO);
+    }
+
+    /**
+     * Adds a version.
+     *
+     * @param greatestAge longest time for which the version may have been named
+     * @return whether it is newer than all known versions of the model
+     */
+    public boolean add(String model, long version, Duration greatestAge) {
+        TreeMap<Long, Long> versions = namedNanos.computeIfAbsent(model, key -> new TreeMap<>());
         boolean newer = versions.isEmpty() || version > versions.lastKey();
-        versions.putIfAbsent(version, time.nanoTime());
+        versions.putIfAbsent(version, time.nanoTime() - greatestAge.toNanos());
         return newer;
     }
 
@@ -44,30 +53,32 @@
      * @return whether it is newer than all known versions of the model
      */
     public boolean addNamedBeforeStart(String model, long version) {
-        TreeMap<Long, Long> versions = learnedNanos.computeIfAbsent(model, key -> new TreeMap<>());
-        boolean newer = versions.isEmpty() || version > versions.lastKey();
-        versions.putIfAbsent(version, time.nanoTime() - AGE_OF_EARLIER_VERSIONS.toNanos());
-        return newer;
+        return add(model, version, AGE_OF_EARLIER_VERSIONS);
+    }
+
+    /** Adds time that the monotonic clock has not counted to the age of all versions. */
+    public void addElapsed(Duration uncounted) {
+        namedNanos.values().forEach(versions -> versions.replaceAll((version, nanos) -> nanos - uncounted.toNanos()));
     }
 
     /** Returns the newest named version of a model; empty if none was named. */
     public OptionalLong newest(String model) {
-        TreeMap<Long, Long> versions = learnedNanos.get(model);
+        TreeMap<Long, Long> versions = namedNanos.get(model);
         return versions == null ? OptionalLong.empty() : OptionalLong.of(versions.lastKey());
     }
 
-    /** Returns the time since this process learned of a version; zero if it does not know it. */
+    /** Returns the longest time for which a version may have been named; zero if this process does not know it. */
     public Duration age(String model, long version) {
-        Long learned = learnedNanos.getOrDefault(model, new TreeMap<>()).get(version);
+        Long learned = namedNanos.getOrDefault(model, new TreeMap<>()).get(version);
         return learned == null ? Duration.ZERO : time.since(learned);
     }
 
     /**
-     * Returns the time since this process learned that a version is no longer the newest of its model; empty if none is
+     * Returns the longest time for which a version may no longer have been the newest of its model; empty if none is
      * newer.
      */
     public Optional<Duration> outdatedFor(String model, long version) {
-        return learnedNanos.getOrDefault(model, new TreeMap<>()).tailMap(version, false).values().stream()
+        return namedNanos.getOrDefault(model, new TreeMap<>()).tailMap(version, false).values().stream()
                 .map(time::since)
                 .max(Duration::compareTo);
     }
@@ -75,7 +86,7 @@
     /** Returns the newest named version of each model. */
     public Map<String, Long> newest() {
         Map<String, Long> newestByModel = new HashMap<>();
-        learnedNanos.forEach((model, versions) -> newestByModel.put(model, versions.lastKey()));
+        namedNanos.forEach((model, versions) -> newestByModel.put(model, versions.lastKey()));
         return newestByModel;
     }
 
@@ -86,7 +97,7 @@
      * @param bound time after which older versions must no longer be served
      */
     public OptionalLong oldestAllowed(String model, Duration bound) {
-        TreeMap<Long, Long> versions = learnedNanos.get(model);
+        TreeMap<Long, Long> versions = namedNanos.get(model);
         if (versions == null) {
             return OptionalLong.empty();
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -371,6 +371,7 @@
 
     /** Detects a suspension of the machine, stalled upstreams and requests that wait for outdated weights. */
     private void checkLiveness() {
+        fleet.checkPauses();
         checkSuspension();
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -13,6 +13,7 @@
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
+import org.masticcroft.gateway.fleet.ExecutionPauses;
 import org.masticcroft.gateway.fleet.FleetChange;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
@@ -35,6 +36,7 @@
     private final DecisionLog log;
     private final Consumer<String> newVersionListener;
     private final AccountRecorder account;
+    private final ExecutionPauses pauses;
     private final List<String> deferredRemovals = new ArrayList<>();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
@@ -51,6 +53,7 @@
             Consumer<String> newVersionListener,
             AccountRecorder account) {
         this.time = time;
+        this.pauses = ExecutionPauses.watch(time);
         this.upstreams = upstreams;
         this.namedVersions = namedVersions;
         this.storeFreshness = storeFreshness;
@@ -164,13 +167,27 @@
         recordNamedVersion(model, version);
     }
 
+    /** Looks for a pause of this process, in which versions may have been named. */
+    void checkPauses() {
+        namedVersions.addElapsed(pauses.check());
+    }
+
+    /** Returns how long ago the operator may have written a record that this process has just received. */
+    private Duration greatestAgeOfNews() {
+        checkPauses();
+        Duration sinceConfirmation = storeFreshness.age();
+        Duration sincePause = pauses.greatestAgeOfNews();
+        return sincePause.compareTo(sinceConfirmation) < 0 ? sincePause : sinceConfirmation;
+    }
+
     private void recordNamedVersion(String model, long version) {
         boolean newer = operatorDirectoryRead
-                ? namedVersions.add(model, version)
+                ? namedVersions.add(model, version, greatestAgeOfNews())
                 : namedVersions.addNamedBeforeStart(model, version);
         if (newer) {
             account.recordChange("weights-named", Map.of("model", model, "version", Long.toString(version)));
-            log.write(Event.WEIGHTS_NAMED, "model", model, "version", version);
+            long ageMillis = namedVersions.age(model, version).toMillis();
+            log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
             newVersionListener.accept(model);
         }
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
@@ -35,6 +35,22 @@
         assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
     }
 
+    // Guards against old weights that are served for longer by a process that learned of a version late.
+    @Test
+    void countTheBoundFromTheEarliestTimeAtWhichAVersionMayHaveBeenNamed() {
+        versions.add("m", 2, Duration.ofSeconds(4));
+        time.advance(Duration.ofSeconds(3));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
+    }
+
+    // Guards against a bound that stands still while the machine is suspended.
+    @Test
+    void countTimeThatTheMonotonicClockDoesNotCount() {
+        versions.add("m", 2);
+        versions.addElapsed(Duration.ofSeconds(7));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
+    }
+
     // Guards against a newer version that restarts the bound of an earlier one.
     @Test
     void applyTheBoundToEachVersionFromItsOwnTime() {
