Count news after several pauses from the begin of the first

What callers saw: nothing yet; found in review. An entry that was frozen for seconds and then stalled again for half a second while it caught up could count a version that was named in the freeze as half a second old, and send requests to old weights after the bound.

Cause: a later pause replaced an earlier one from which the process had not caught up, so the age of the news was that of the shorter pause.

Change: a pause that begins within the time to catch up extends the earlier one.

Result: ExecutionPausesTest.beginWithTheFirstOfSeveralBeforeTheProcessHasCaughtUp failed before (0.5 s instead of 4.6 s) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/ExecutionPauses.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/ExecutionPauses.java
@@ -17,7 +17,10 @@
     private final TimeSource time;
     private long checkedNanos;
     private long checkedWallMillis;
+
+    /** Time from the begin of the last pause to its end, with the pauses from which the process had not caught up. */
     private Duration lastPause = Duration.ZERO;
+
     private long lastPauseEndNanos;
 
     private ExecutionPauses(TimeSource time) {
@@ -42,12 +45,14 @@
         long wallMillis = time.now().toEpochMilli();
         Duration monotonic = Duration.ofNanos(nanos - checkedNanos);
         Duration wall = Duration.ofMillis(wallMillis - checkedWallMillis);
+        Duration sincePause = Duration.ofNanos(checkedNanos - lastPauseEndNanos);
         checkedNanos = nanos;
         checkedWallMillis = wallMillis;
         Duration uncounted = wall.minus(monotonic);
         Duration elapsed = uncounted.isNegative() ? monotonic : wall;
         if (elapsed.compareTo(MIN_PAUSE) >= 0) {
-            lastPause = elapsed;
+            boolean caughtUp = lastPause.isZero() || sincePause.compareTo(CATCH_UP_TIME) > 0;
+            lastPause = caughtUp ? elapsed : lastPause.plus(sincePause).plus(elapsed);
             lastPauseEndNanos = nanos;
         }
         return uncounted.compareTo(MIN_PAUSE) >= 0 ? uncounted : Duration.ZERO;
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/ExecutionPausesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/ExecutionPausesTest.java
@@ -49,6 +49,31 @@
         assertThat(pauses.greatestAgeOfNews()).isZero();
     }
 
+    // Guards against news from a long freeze that counts from the short stall in which the process catches up.
+    @Test
+    void beginWithTheFirstOfSeveralBeforeTheProcessHasCaughtUp() {
+        time.advance(Duration.ofSeconds(4));
+        pauses.check();
+        time.advance(CHECK_INTERVAL);
+        pauses.check();
+        time.advance(Duration.ofMillis(500));
+        pauses.check();
+        assertThat(pauses.greatestAgeOfNews()).isEqualTo(Duration.ofMillis(4600));
+    }
+
+    @Test
+    void areSeparateOnceTheProcessHasCaughtUp() {
+        time.advance(Duration.ofSeconds(4));
+        pauses.check();
+        for (int i = 0; i < 21; i++) {
+            time.advance(CHECK_INTERVAL);
+            pauses.check();
+        }
+        time.advance(Duration.ofMillis(500));
+        pauses.check();
+        assertThat(pauses.greatestAgeOfNews()).isEqualTo(Duration.ofMillis(500));
+    }
+
     @Test
     void areNotAssumedWhenTheWallClockIsSetBack() {
         time.stepWallClock(Duration.ofSeconds(-4));
