Count a suspension before the first record that is read after it

What callers saw: nothing yet; found in review. After a suspension, in which the monotonic clock stands still, an entry could count a version that was named in the suspension as new, and send requests to old weights for as much longer than the bound.

Cause: the age of a record is limited by the time since the last confirmation of the store. A suspension voids the confirmation only at the next check, up to 100 ms later, but the reply that waits in the socket is handled first. A request handled in that time also met ages of versions without the suspension.

Change: the age of the confirmation compares both clocks whenever it is asked for. An entry looks for pauses before each request, as it does for suspensions.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/StoreFreshness.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/StoreFreshness.java
@@ -42,20 +42,23 @@
      * @return whether the machine seems to have been suspended since the last call; if so, the confirmation is void
      */
     public boolean detectSuspension() {
-        long wallMillis = time.now().toEpochMilli();
-        long nanos = time.nanoTime();
-        long wallClockAheadMillis = wallMillis - checkedWallMillis - (nanos - checkedNanos) / 1_000_000;
-        checkedWallMillis = wallMillis;
-        checkedNanos = nanos;
-        if (wallClockAheadMillis < MIN_SUSPENSION_MILLIS) {
-            return false;
+        boolean suspended = suspendedSinceCheck();
+        checkedWallMillis = time.now().toEpochMilli();
+        checkedNanos = time.nanoTime();
+        if (suspended) {
+            confirmed = false;
         }
-        confirmed = false;
-        return true;
+        return suspended;
     }
 
-    /** Returns the time since the last confirmation; one day if there is none. */
+    /** Returns the time since the last confirmation; one day if there is none or a suspension has voided it. */
     public Duration age() {
-        return confirmed ? time.since(confirmedNanos) : Duration.ofDays(1);
+        return confirmed && !suspendedSinceCheck() ? time.since(confirmedNanos) : Duration.ofDays(1);
+    }
+
+    private boolean suspendedSinceCheck() {
+        long wallMillis = time.now().toEpochMilli() - checkedWallMillis;
+        long monotonicMillis = (time.nanoTime() - checkedNanos) / 1_000_000;
+        return wallMillis - monotonicMillis >= MIN_SUSPENSION_MILLIS;
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -371,7 +371,6 @@
 
     /** Detects a suspension of the machine, stalled upstreams and requests that wait for outdated weights. */
     private void checkLiveness() {
-        fleet.checkPauses();
         checkSuspension();
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
@@ -380,8 +379,12 @@
         });
     }
 
-    /** Reads the store again after a suspension, which voids the confirmation of the configuration. */
+    /**
+     * Counts a suspension as time since the known versions were named, and reads the store again, because a suspension
+     * voids the confirmation of the configuration.
+     */
     private void checkSuspension() {
+        fleet.checkPauses();
         if (storeFreshness.detectSuspension()) {
             log.write(Event.MACHINE_SUSPENDED, "effect", "configuration-unconfirmed");
             operatorFollower.restart();
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/StoreFreshnessTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/StoreFreshnessTest.java
@@ -34,6 +34,15 @@
         assertThat(freshness.age()).isGreaterThan(Duration.ofHours(1));
     }
 
+    // Guards against a record that counts as fresh because it is received before the next check for a suspension.
+    @Test
+    void isVoidAfterASuspensionThatWasNotCheckedForYet() {
+        freshness.confirmedAt(time.nanoTime());
+        time.stepWallClock(Duration.ofSeconds(6));
+        assertThat(freshness.age()).isGreaterThan(Duration.ofHours(1));
+        assertThat(freshness.detectSuspension()).isTrue();
+    }
+
     @Test
     void staysValidWhenTheWallClockIsSetBack() {
         freshness.confirmedAt(time.nanoTime());
