Reset the connection of a cancelled call to a server

Cause: an entry that cancels a call closed its connection in an orderly way. The bytes of the request waited in the receive buffer of the frozen machine, before the close, so the engine read the request when it ran again. A client that has only finished sending looks the same to a server.

Change: cancelling a call that was sent resets its connection.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -1,7 +1,9 @@
 package org.masticcroft.gateway.http;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -200,6 +202,19 @@
         failed.onFailure(failure);
     }
 
+    /**
+     * Closes the connection with a reset. After an orderly close, a server may still read and run the request, because
+     * the client could be waiting for the response.
+     */
+    private void abort() {
+        try {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // The server has reset the connection already.
+        }
+        context.close();
+    }
+
     /** The call that the connection carries. Cancelling it later does not affect another call on the connection. */
     private final class ConnectionCall implements Call {
         private final ResponseListener callListener;
@@ -217,7 +232,7 @@
         public void cancel() {
             if (listener == callListener) {
                 listener = null;
-                context.close();
+                abort();
             }
         }
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -11,6 +12,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -138,6 +144,37 @@
         }
     }
 
+    @Nested
+    class ACancelledCall {
+        /** Guards against a server that takes the close for the end of the request and still runs it. */
+        @Test
+        void resetsItsConnection() throws Exception {
+            try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+                CompletableFuture<Call> call = new CompletableFuture<>();
+                loop.execute(() -> call.complete(client.send(
+                        new Address("127.0.0.1", server.getLocalPort()),
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                        MAX_IDLE,
+                        new Recorder("a"))));
+                try (Socket connection = server.accept()) {
+                    InputStream in = connection.getInputStream();
+                    awaitBytes(in);
+                    loop.submit(() -> call.join().cancel()).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+                    assertThatThrownBy(in::readAllBytes).isInstanceOf(SocketException.class);
+                }
+            }
+        }
+
+        private void awaitBytes(InputStream in) throws Exception {
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (in.available() == 0 && System.nanoTime() - deadlineNanos < 0) {
+                Thread.sleep(5);
+            }
+            assertThat(in.available()).isPositive();
+        }
+    }
+
     /** Records the body of the response, or the name of the failure. */
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
