Count the turn to load weights from before a pause of the sidecar

What callers saw: nothing yet; found in review of the same cause elsewhere. After a freeze of the sidecars, engines of the second half of a region wait for the first half with weights to which entries no longer send requests, and serve nobody in that time.

Cause: a sidecar counted the time for which older weights are used from the moment at which it learned of the newer version, and not across a suspension.

Change: a sidecar notices pauses as entries do and counts from their begin.

Result: RegionTurnsTest.TheSecondHalf.loadsAtOnceAfterAFreezeBeyondTheBound and loadsAtOnceAfterASuspensionBeyondTheBound failed before and pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -201,6 +201,7 @@
     }
 
     private void readEngineReport() {
+        updater.checkPauses();
         if (reportPending) {
             return;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/RegionTurns.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/RegionTurns.java
@@ -1,27 +1,47 @@
 package org.masticcroft.gateway.weights;
 
 import java.util.List;
+import org.masticcroft.gateway.fleet.ExecutionPauses;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.node.NodeSettings;
 import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.time.TimeSource;
 
 /** Gathers what {@link LoadTurn} needs to know about the region, and logs its decision whenever it changes. */
 final class RegionTurns {
     private final NodeSettings settings;
     private final Peers peers;
     private final NamedVersions namedVersions;
+    private final ExecutionPauses pauses;
     private final DecisionLog log;
     private boolean lastTurn;
     private long lastTarget;
 
-    RegionTurns(NodeSettings settings, Peers peers, NamedVersions namedVersions, DecisionLog log) {
+    RegionTurns(NodeSettings settings, Peers peers, TimeSource time, DecisionLog log) {
         this.settings = settings;
         this.peers = peers;
-        this.namedVersions = namedVersions;
+        this.namedVersions = NamedVersions.empty(time);
+        this.pauses = ExecutionPauses.watch(time);
         this.log = log;
     }
 
+    /** Records a version that was named while this process was running. */
+    void recordNamedVersion(String model, long version) {
+        checkPauses();
+        namedVersions.add(model, version, pauses.greatestAgeOfNews());
+    }
+
+    /** Records a version that was named before this process started. */
+    void recordVersionNamedBeforeStart(String model, long version) {
+        namedVersions.addNamedBeforeStart(model, version);
+    }
+
+    /** Looks for a pause of this process, in which versions may have been named. */
+    void checkPauses() {
+        namedVersions.addElapsed(pauses.check());
+    }
+
     /** Returns the half of the region that the engine of this machine belongs to. */
     LoadTurn.Half half() {
         return halves().own();
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -13,7 +13,6 @@
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.fleet.FleetChange;
-import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.log.DecisionLog;
@@ -75,7 +74,6 @@
     private final StagedPieceReader stagedReader;
     private final EngineLoader loader;
     private final Runnable onManifestFound;
-    private final NamedVersions namedVersions;
     private final RegionTurns turns;
     private Optional<GatewayConfig> config = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
@@ -110,8 +108,7 @@
         this.weightsMetrics = WeightsMetrics.of(metrics);
         this.stagedReader = new StagedPieceReader(engine, log);
         this.loader = new EngineLoader(engine, time, log, weightsMetrics);
-        this.namedVersions = NamedVersions.empty(time);
-        this.turns = new RegionTurns(settings, peers, namedVersions, log);
+        this.turns = new RegionTurns(settings, peers, time, log);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newestNamed);
         metrics.gauge(
                 Series.of("masticcroft_weights_loaded_version"),
@@ -158,14 +155,19 @@
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newestNamed);
             newestNamed = version;
             if (config.isPresent()) {
-                namedVersions.add(model, version);
+                turns.recordNamedVersion(model, version);
             } else {
-                namedVersions.addNamedBeforeStart(model, version);
+                turns.recordVersionNamedBeforeStart(model, version);
             }
             tick();
         }
     }
 
+    /** Looks for a pause of this process; to be called at short intervals. */
+    public void checkPauses() {
+        turns.checkPauses();
+    }
+
     /** Returns the newest version that the operator named; empty if none was named. */
     public Optional<FleetChange.WeightsNamed> newestNamedVersion() {
         return newestNamed > INITIAL_VERSION
