Log the shared parts of a prompt that was at an engine when it failed

A failed engine left only the fingerprints of the whole requests in the log, so that what unlike requests have in common could not be seen.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -19,7 +20,7 @@
  * @param body complete body
  * @param key key that identifies the caller, if any
  * @param deadline how long the caller waits for the response, if it set a deadline
- * @param generation model and prompt size, if the request is for a model
+ * @param generation model and prompt, if the request is for a model
  * @param resumeAfter id of the last event that the caller received, if it resumes a stream
  */
 public record CallerRequest(
@@ -43,6 +44,11 @@
         return 31L * Objects.hash(method.name(), host, uri, key.orElse("")) + Arrays.hashCode(body);
     }
 
+    /** Returns the ids of the parts of the prompt that other requests may share; empty without a prompt. */
+    public List<Long> sharedParts() {
+        return generation.map(Generation::sharedParts).orElse(List.of());
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = uri.indexOf('?');
@@ -50,14 +56,16 @@
     }
 
     /**
-     * Model and size of a generation request.
+     * Model and prompt of a generation request.
      *
      * @param model name of the model
      * @param promptTokens number of tokens of the prompt
+     * @param sharedParts ids of the parts of the prompt that other requests may share, in order
      */
-    public record Generation(String model, int promptTokens) {
+    public record Generation(String model, int promptTokens, List<Long> sharedParts) {
         public Generation {
             Objects.requireNonNull(model, "model");
+            sharedParts = List.copyOf(sharedParts);
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
@@ -301,7 +302,16 @@
     public void onUpstreamFailed(Exchange exchange, String upstream) {
         long fingerprint = exchange.request().fingerprint();
         suspects.recordFailure(fingerprint, upstream, time.nanoTime());
-        log.write(Event.SUSPECT_MARKED, "request", exchange.id(), "upstream", upstream, "fingerprint", fingerprint);
+        log.write(
+                Event.SUSPECT_MARKED,
+                "request",
+                exchange.id(),
+                "upstream",
+                upstream,
+                "fingerprint",
+                fingerprint,
+                "parts",
+                hex(exchange.request().sharedParts()));
     }
 
     @Override
@@ -329,6 +339,10 @@
         recorder.ended(exchange, end);
     }
 
+    private static String hex(List<Long> parts) {
+        return parts.stream().map(Long::toHexString).collect(Collectors.joining(","));
+    }
+
     private CallerLimits limits() {
         return fleet.config().map(GatewayConfig::limits).orElse(CallerLimits.defaults());
     }
