Collect the evidence on parts of prompts that upstreams crash on

The marks of single requests could not show which part of their prompts the crashes of unlike requests have in common, nor whether the entries together know enough and in time. The entries now record for each shared part the crashes of distinct processes and the responses that began, and exchange them through a few sidecars at once. Merging is idempotent, so datagrams may be lost or repeated. Decisions do not depend on it yet.

A connection that ends a response without a length before its first event counts as a failed upstream as well; it was no suspicion before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -45,6 +45,7 @@
     private int otherEntriesLoad;
     private double failureShare;
     private long lastByteNanos;
+    private long lastReceivedNanos;
     private long pausedUntilNanos;
     private int consecutiveRefusals;
     private final RecentMaximum slowestFirstByte;
@@ -54,6 +55,7 @@
         this.listing = listing;
         this.servedVersion = listing.loadedVersion();
         this.lastByteNanos = nowNanos;
+        this.lastReceivedNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
         this.slowestFirstByte = RecentMaximum.over(SLOWEST_FIRST_BYTE_WINDOW, nowNanos);
     }
@@ -217,6 +219,17 @@
     /** Records that a byte was received from the upstream. */
     public void recordByte(long nowNanos) {
         lastByteNanos = nowNanos;
+        lastReceivedNanos = nowNanos;
+    }
+
+    /** Returns whether this entry received a byte from the upstream after the given time. */
+    public boolean receivedSince(long nanos) {
+        return lastReceivedNanos - nanos > 0;
+    }
+
+    /** Returns a number for the process of the upstream, the same at all entries. */
+    public long process() {
+        return ((long) id().hashCode() << Integer.SIZE) ^ listing.startMillis();
     }
 
     /** Records a response that shows that the upstream works. */
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.PooledHttpClient;
@@ -62,7 +63,10 @@
     boolean hasUntriedUpstream(String service, Set<String> triedUpstreams);
 
     /** Is called when an upstream failed that may have run a request and had sent nothing of the response. */
-    void onUpstreamFailed(Exchange exchange, String upstream);
+    void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure);
+
+    /** Is called when an upstream has begun the response to a request, so that the request did not crash it. */
+    void onResponseBegun(Exchange exchange);
 
     /** Is called once when a streamed response starts, with the time since the request was sent. */
     void onFirstByte(Exchange exchange, Duration timeToFirstByte);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -159,6 +159,9 @@
         if (!completeEvents.isReadable()) {
             return;
         }
+        if (!firstByteReceived) {
+            context.onResponseBegun(exchange);
+        }
         recordFirstByte();
         upstream.recordAcceptance();
         if (!exchange.responseStarted()) {
@@ -179,6 +182,7 @@
             handleRefusal();
         } else if (head.success()) {
             upstream.recordSuccess(context.time().nanoTime());
+            context.onResponseBegun(exchange);
             close();
             exchange.forwardResponse(head, headers, body);
         } else {
@@ -193,7 +197,7 @@
         }
         upstream.recordFailure(context.time().nanoTime());
         if (failure.verdict() == Verdict.MAY_HAVE_RUN && !responseBegun()) {
-            context.onUpstreamFailed(exchange, upstream.id());
+            context.onUpstreamFailed(exchange, upstream, failure);
         }
         if (failure == CallFailure.NOT_CONNECTED) {
             context.httpClient().closeIdle(upstream.listing().address());
@@ -228,6 +232,10 @@
     private void handleStreamEnd() {
         if (exchange.events().hasPartial() || !exchange.responseStarted()) {
             upstream.recordFailure(context.time().nanoTime());
+            if (!responseBegun()) {
+                // The end of the connection ends a response without a length, also when the upstream has crashed.
+                context.onUpstreamFailed(exchange, upstream, CallFailure.CLOSED_EARLY);
+            }
             fail(Verdict.MAY_HAVE_RUN, "stream-broken-off");
             return;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -20,6 +20,7 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
@@ -34,6 +35,7 @@
 import org.masticcroft.gateway.fleet.FleetStore;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
+import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpServer;
@@ -75,6 +77,15 @@
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long SUBSCRIBE_INTERVAL_MILLIS = 1000;
 
+    /** Time after a failure without a byte from the upstream from which it counts as crashed. */
+    private static final Duration CRASH_CONFIRMATION = Duration.ofMillis(75);
+
+    /** Time after a crash within which bytes that were sent before it are still read. */
+    private static final Duration IN_TRANSIT = Duration.ofMillis(25);
+
+    /** Time for which evidence is collected before it is sent. */
+    private static final long EVIDENCE_DELAY_MILLIS = 5;
+
     /** Time after the request to stop for which the platform still sends new connections. */
     private static final Duration DEREGISTRATION_DELAY = Duration.ofMillis(2600);
 
@@ -103,6 +114,9 @@
     private final Map<String, InitialDeadlineEstimator> initialDeadlines = new HashMap<>();
     private final Set<Exchange> openExchanges = new LinkedHashSet<>();
     private final CrashSuspects suspects = CrashSuspects.empty();
+    private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
+    private Set<Long> loggedQuarantine = Set.of();
+    private boolean evidencePending;
     private final Random random;
     private boolean stopping;
     private boolean wasReady;
@@ -126,7 +140,15 @@
         this.configValidity =
                 new ConfigValidity(storeFreshness, settings.bounds().revocation());
         this.datagrams = new FleetDatagrams(
-                settings, time, DatagramPort.of(loop, log), fleet, upstreams, namedVersions, suspects);
+                settings,
+                time,
+                DatagramPort.of(loop, log),
+                fleet,
+                upstreams,
+                namedVersions,
+                suspects,
+                promptParts,
+                this::onEvidence);
         this.filter = new RequestFilter(this, fleet, configValidity, suspects);
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
@@ -161,6 +183,8 @@
                 this::checkLiveness, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 datagrams::subscribe, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                datagrams::sendEvidence, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void exposeMetrics() {
@@ -168,6 +192,10 @@
         metrics.gauge(
                 Series.of("masticcroft_upstreams_listed"),
                 () -> upstreams.listed().size());
+        metrics.gauge(Series.of("masticcroft_prompt_parts_suspected"), promptParts::suspected);
+        metrics.gauge(
+                Series.of("masticcroft_prompt_parts_quarantined"),
+                () -> promptParts.quarantined().size());
         metrics.gauge(Series.of("masticcroft_config_version"), this::configVersion);
         metrics.gauge(
                 Series.of("masticcroft_config_age_ms"),
@@ -299,19 +327,63 @@
     }
 
     @Override
-    public void onUpstreamFailed(Exchange exchange, String upstream) {
+    public void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure) {
         long fingerprint = exchange.request().fingerprint();
-        suspects.recordFailure(fingerprint, upstream, time.nanoTime());
+        long now = time.nanoTime();
+        suspects.recordFailure(fingerprint, upstream.id(), now);
         log.write(
                 Event.SUSPECT_MARKED,
                 "request",
                 exchange.id(),
                 "upstream",
-                upstream,
+                upstream.id(),
                 "fingerprint",
                 fingerprint,
                 "parts",
                 hex(exchange.request().sharedParts()));
+        List<Long> parts = exchange.request().sharedParts();
+        if (!parts.isEmpty() && (failure == CallFailure.RESET || failure == CallFailure.CLOSED_EARLY)) {
+            loop.schedule(
+                    () -> recordCrash(parts, upstream, now), CRASH_CONFIRMATION.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Counts a failure as a crash if the upstream sent nothing since; a live one goes on with its other responses. */
+    private void recordCrash(List<Long> parts, Upstream upstream, long failureNanos) {
+        if (!upstream.receivedSince(failureNanos + IN_TRANSIT.toNanos())) {
+            promptParts.recordCrash(parts, upstream.process(), failureNanos);
+            onEvidence();
+        }
+    }
+
+    @Override
+    public void onResponseBegun(Exchange exchange) {
+        if (promptParts.recordAnswer(exchange.request().sharedParts(), time.nanoTime())) {
+            onEvidence();
+        }
+    }
+
+    /** Shares changed evidence with the other entries; changes that come close together share a datagram. */
+    private void onEvidence() {
+        if (!loggedQuarantine.equals(promptParts.quarantined())) {
+            loggedQuarantine = promptParts.quarantined();
+            log.write(
+                    Event.PROMPT_PARTS_QUARANTINED,
+                    "parts",
+                    hex(List.copyOf(loggedQuarantine)),
+                    "suspected",
+                    promptParts.suspected());
+        }
+        if (!evidencePending) {
+            evidencePending = true;
+            loop.schedule(
+                    () -> {
+                        evidencePending = false;
+                        datagrams.sendEvidence();
+                    },
+                    EVIDENCE_DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -1,7 +1,9 @@
 package org.masticcroft.gateway.node;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.NamedVersions;
@@ -20,6 +22,12 @@
  * engines, the named versions that they know, and the suspects of the other entries.
  */
 final class FleetDatagrams {
+    /**
+     * Sidecars that the evidence on parts of prompts goes to at a time; each of them passes it on to all entries. One
+     * would do, but sidecars may be down, cut off or slow.
+     */
+    private static final int EVIDENCE_RECIPIENTS = 4;
+
     private final NodeSettings settings;
     private final TimeSource time;
     private final DatagramPort port;
@@ -27,6 +35,9 @@
     private final UpstreamTable upstreams;
     private final NamedVersions namedVersions;
     private final CrashSuspects suspects;
+    private final PromptPartSuspects promptParts;
+    private final TakeTurns<String> evidenceRecipients = TakeTurns.of(EVIDENCE_RECIPIENTS);
+    private final Runnable onEvidence;
 
     FleetDatagrams(
             NodeSettings settings,
@@ -35,7 +46,9 @@
             FleetState fleet,
             UpstreamTable upstreams,
             NamedVersions namedVersions,
-            CrashSuspects suspects) {
+            CrashSuspects suspects,
+            PromptPartSuspects promptParts,
+            Runnable onEvidence) {
         this.settings = settings;
         this.time = time;
         this.port = port;
@@ -43,6 +56,8 @@
         this.upstreams = upstreams;
         this.namedVersions = namedVersions;
         this.suspects = suspects;
+        this.promptParts = promptParts;
+        this.onEvidence = onEvidence;
     }
 
     /** Starts to receive datagrams. */
@@ -68,7 +83,28 @@
         }
     }
 
+    /**
+     * Sends the evidence on parts of prompts to the next few sidecars, which reply with what they know. Is called when
+     * the evidence changes, and from time to time because datagrams may be lost and entries start anew.
+     */
+    void sendEvidence() {
+        List<String> sidecars = upstreams.listed().stream()
+                .filter(upstream -> fleet.profile(upstream.listing().service()).isPresent())
+                .map(upstream -> upstream.listing().address().ip())
+                .distinct()
+                .sorted()
+                .toList();
+        Datagram datagram = EvidenceMessages.encode(promptParts.reports(time.nanoTime()));
+        evidenceRecipients.next(sidecars).forEach(ip -> port.send(new Address(ip, settings.peerPort()), datagram));
+    }
+
     private void handleDatagram(Address sender, Datagram datagram) {
+        if (datagram.hasEvidence()) {
+            if (promptParts.merge(EvidenceMessages.decode(datagram.getEvidence()), time.nanoTime())) {
+                onEvidence.run();
+            }
+            return;
+        }
         if (!datagram.hasLoad()) {
             return;
         }
