Keep the newest crashes of a suspected part

From 26.3 s on it named the first part of the same requests as well: of the crashing part the oldest eight crashes were kept, which no longer explained the latest ones. The new test failed before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
@@ -66,7 +66,7 @@
     /** Maximum number of suspected parts that are reported; their reports fit into one datagram. */
     private static final int MAX_REPORTS = 16;
 
-    /** Maximum number of crashes that are remembered of a part. */
+    /** Maximum number of crashes that are remembered of a part, the newest ones. */
     private static final int MAX_CRASHES = 8;
 
     /** Maximum number of parts of answered requests that are remembered. */
@@ -314,8 +314,8 @@
             }
             if (crashes.size() > MAX_CRASHES) {
                 crashes.entrySet().stream()
-                        .max(Comparator.comparingLong(crash -> crash.getValue() - crashNanos))
-                        .ifPresent(newest -> crashes.remove(newest.getKey()));
+                        .min(Comparator.comparingLong(crash -> crash.getValue() - crashNanos))
+                        .ifPresent(oldest -> crashes.remove(oldest.getKey()));
             }
         }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
@@ -159,6 +159,18 @@
             assertThat(suspects.quarantined()).containsExactly(DEADLY);
         }
 
+        // Guards against the quarantine of a common part after many crashes that the crashing part explains.
+        @Test
+        void isNotQuarantinedHoweverManyCrashesAreExplained() {
+            for (int i = 1; i <= 30; i++) {
+                if (i == 20) {
+                    suspects.recordAnswer(List.of(20L), seconds(i - 0.5));
+                }
+                crash(i, i, 20L, DEADLY);
+            }
+            assertThat(suspects.quarantined()).containsExactly(DEADLY);
+        }
+
         // Guards against the quarantine of a part because several engines lost power at the same moment.
         @Test
         void isNotQuarantinedByCrashesAtTheSameTime() {
