Refuse requests with a part of a prompt that crashes engines

Callers saw streams break off and waits grow: requests with one part in common, no two alike, crashed each engine that began to answer them.

Cause: suspicion was by whole request, so that unlike requests never added up, and a request that had been unanswered at a crashed engine went to a second one at once.

Change: a request with a part that two crashes have in common, and that no response ever cleared, is refused before it is queued, when it is dispatched, and withdrawn where an engine has not begun it. A request that may have crashed its engine is sent again only if all its shared parts are known to be harmless; the resend waits 0.3 s for the other entries to say so. One request is let through on trial after a pause, since only an answer clears a part that is not at fault.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
@@ -142,9 +142,13 @@
         return cleared;
     }
 
-    /** Returns whether a request must not be sent to any upstream now. */
+    /**
+     * Returns whether a request must not be sent to any upstream now. A part is remembered as long as requests with it
+     * are refused.
+     */
     public boolean refuses(Collection<Long> parts, long nowNanos) {
         List<Suspect> held = held(parts);
+        held.forEach(suspect -> suspect.recordActivity(nowNanos));
         return !held.isEmpty() && !trialDue(held, parts, nowNanos);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -40,6 +40,12 @@
     /** Time for which an upstream is avoided after another process or other weights were found at its address. */
     private static final Duration MISMATCH_PAUSE = Duration.ofMillis(250);
 
+    /**
+     * Time for which the resend of a request that may have crashed its upstream waits for the evidence of the other
+     * entries; evidence takes a quarter of a second to reach all of them.
+     */
+    private static final Duration EVIDENCE_WAIT = Duration.ofMillis(300);
+
     /** Time before the deadline by which a stream must start; on a loaded engine half of the streams take longer. */
     private static final Duration MIN_STREAM_TIME = Duration.ofMillis(1500);
 
@@ -62,6 +68,8 @@
     private int attempts;
     private int possibleRuns;
     private boolean mayHaveRun;
+    private boolean mayHaveCrashedUpstream;
+    private boolean onTrial;
     private boolean responseStarted;
     private Duration timeToFirstByte = Duration.ZERO;
     private boolean closed;
@@ -162,6 +170,11 @@
 
     @Override
     public void dispatch(Choice choice) {
+        if (!context.admit(request)) {
+            refuse(new Refusal("quarantined-part", context.retryAfter()));
+            return;
+        }
+        onTrial = context.quarantined(request);
         Upstream upstream = choice.upstream();
         long now = context.time().nanoTime();
         attempts++;
@@ -210,6 +223,18 @@
         }
     }
 
+    /** Withdraws the request from an upstream that has not begun it, if a part of its prompt is quarantined now. */
+    public void checkQuarantine() {
+        if (!closed && attempt != null && !attempt.begun() && !onTrial && context.quarantined(request)) {
+            attempt.withdraw("quarantined-part");
+        }
+    }
+
+    /** Records that the upstream of the current attempt failed as if it had crashed, and had not answered. */
+    void recordPossibleCrash() {
+        mayHaveCrashedUpstream = true;
+    }
+
     /** Fails an attempt that has stalled, if the request is repeatable and another upstream can take it. */
     public void checkStall(long nowNanos) {
         if (closed || attempt == null || !route.repeatable()) {
@@ -322,7 +347,23 @@
                         events.lastEventId(),
                         "failure_share",
                         Math.round(100 * upstream.failureShare()) / 100.0);
-        if (mayRetry(verdict) && context.tryRetry(service)) {
+        if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
+            context.loop().schedule(() -> retryOnceCleared(reason), EVIDENCE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            retryOrFail(mayRetry(verdict), reason);
+        }
+    }
+
+    /** Sends a request that may have crashed its upstream to another one only if its prompt is known to be harmless. */
+    private void retryOnceCleared(String reason) {
+        if (!closed) {
+            retryOrFail(context.mayResend(request), reason);
+        }
+    }
+
+    private void retryOrFail(boolean retry, String reason) {
+        mayHaveCrashedUpstream = false;
+        if (retry && context.tryRetry(service)) {
             events.discardPartial();
             context.enqueue(this, service);
         } else {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -65,6 +65,15 @@
     /** Is called when an upstream failed that may have run a request and had sent nothing of the response. */
     void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure);
 
+    /** Decides whether a request may be sent to an upstream now; not if a part of its prompt crashes upstreams. */
+    boolean admit(CallerRequest request);
+
+    /** Returns whether a part of the prompt of a request is known to crash upstreams. */
+    boolean quarantined(CallerRequest request);
+
+    /** Returns whether a request that was unanswered at an upstream that may have crashed can be sent to another. */
+    boolean mayResend(CallerRequest request);
+
     /** Is called when an upstream has begun the response to a request, so that the request did not crash it. */
     void onResponseBegun(Exchange exchange);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -197,7 +197,7 @@
         }
         upstream.recordFailure(context.time().nanoTime());
         if (failure.verdict() == Verdict.MAY_HAVE_RUN && !responseBegun()) {
-            context.onUpstreamFailed(exchange, upstream, failure);
+            reportUnanswered(failure);
         }
         if (failure == CallFailure.NOT_CONNECTED) {
             context.httpClient().closeIdle(upstream.listing().address());
@@ -205,6 +205,13 @@
         fail(failure.verdict(), failure.name().toLowerCase(Locale.ROOT).replace('_', '-'));
     }
 
+    private void reportUnanswered(CallFailure failure) {
+        if (failure.connectionLost()) {
+            exchange.recordPossibleCrash();
+        }
+        context.onUpstreamFailed(exchange, upstream, failure);
+    }
+
     /** Returns whether the upstream survived the start of the request, so that the request did not crash it. */
     private boolean responseBegun() {
         return exchange.isStream() ? firstByteReceived : head != null;
@@ -234,7 +241,7 @@
             upstream.recordFailure(context.time().nanoTime());
             if (!responseBegun()) {
                 // The end of the connection ends a response without a length, also when the upstream has crashed.
-                context.onUpstreamFailed(exchange, upstream, CallFailure.CLOSED_EARLY);
+                reportUnanswered(CallFailure.CLOSED_EARLY);
             }
             fail(Verdict.MAY_HAVE_RUN, "stream-broken-off");
             return;
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallFailure.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallFailure.java
@@ -21,6 +21,11 @@
         this.verdict = verdict;
     }
 
+    /** Returns whether the connection ended, as it does when the server crashes. */
+    public boolean connectionLost() {
+        return this == RESET || this == CLOSED_EARLY;
+    }
+
     /** Returns whether the request may have run after this failure. */
     public Verdict verdict() {
         return verdict;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -149,7 +149,7 @@
                 suspects,
                 promptParts,
                 this::onEvidence);
-        this.filter = new RequestFilter(this, fleet, configValidity, suspects);
+        this.filter = new RequestFilter(this, fleet, configValidity, suspects, promptParts);
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
         this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
@@ -342,7 +342,7 @@
                 "parts",
                 hex(exchange.request().sharedParts()));
         List<Long> parts = exchange.request().sharedParts();
-        if (!parts.isEmpty() && (failure == CallFailure.RESET || failure == CallFailure.CLOSED_EARLY)) {
+        if (!parts.isEmpty() && failure.connectionLost()) {
             loop.schedule(
                     () -> recordCrash(parts, upstream, now), CRASH_CONFIRMATION.toMillis(), TimeUnit.MILLISECONDS);
         }
@@ -363,10 +363,33 @@
         }
     }
 
+    @Override
+    public boolean admit(CallerRequest request) {
+        long now = time.nanoTime();
+        boolean quarantined = quarantined(request);
+        boolean admitted = promptParts.admit(request.sharedParts(), now);
+        if (quarantined && admitted) {
+            log.write(Event.QUARANTINE_TRIAL, "request", request.attemptId(), "parts", hex(request.sharedParts()));
+            onEvidence();
+        }
+        return admitted;
+    }
+
+    @Override
+    public boolean quarantined(CallerRequest request) {
+        return request.sharedParts().stream().anyMatch(promptParts.quarantined()::contains);
+    }
+
+    @Override
+    public boolean mayResend(CallerRequest request) {
+        return promptParts.mayResend(request.sharedParts());
+    }
+
     /** Shares changed evidence with the other entries; changes that come close together share a datagram. */
     private void onEvidence() {
         if (!loggedQuarantine.equals(promptParts.quarantined())) {
             loggedQuarantine = promptParts.quarantined();
+            List.copyOf(openExchanges).forEach(Exchange::checkQuarantine);
             log.write(
                     Event.PROMPT_PARTS_QUARANTINED,
                     "parts",
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
@@ -9,6 +9,7 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeContext;
 import org.masticcroft.gateway.exchange.RetryAfter;
@@ -24,12 +25,19 @@
     private final FleetState fleet;
     private final ConfigValidity configValidity;
     private final CrashSuspects suspects;
+    private final PromptPartSuspects promptParts;
 
-    RequestFilter(ExchangeContext context, FleetState fleet, ConfigValidity configValidity, CrashSuspects suspects) {
+    RequestFilter(
+            ExchangeContext context,
+            FleetState fleet,
+            ConfigValidity configValidity,
+            CrashSuspects suspects,
+            PromptPartSuspects promptParts) {
         this.context = context;
         this.fleet = fleet;
         this.configValidity = configValidity;
         this.suspects = suspects;
+        this.promptParts = promptParts;
     }
 
     /** Starts the exchange of a request that passes all checks and refuses any other. */
@@ -43,6 +51,10 @@
             refuse(request, writer, RETRYABLE_STATUS, "quarantined");
             return;
         }
+        if (promptParts.refuses(request.sharedParts(), context.time().nanoTime())) {
+            refuse(request, writer, RETRYABLE_STATUS, "quarantined-part");
+            return;
+        }
         GatewayConfig config = fleet.config().orElseThrow();
         boolean confirmed = configValidity.validForKeys();
         Optional<Route> route = config.route(request.host(), request.path());
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -25,6 +25,7 @@
     REQUEST_QUARANTINED(1207, "A request was quarantined because upstreams crashed while they ran it."),
     PREEMPTION_DECISION(1208, "A running request was preempted by one of a more urgent rank."),
     PROMPT_PARTS_QUARANTINED(1209, "Parts of prompts that upstreams crash on; all that are quarantined are given."),
+    QUARANTINE_TRIAL(1210, "A request with a quarantined part of a prompt is sent, to learn whether it is harmless."),
     UPSTREAM_ROUTABLE(
             1220, "An upstream reports weights as ready, or a plain service as serving; new work may go to it."),
     UPSTREAM_NOT_ROUTABLE(1221, "An upstream receives no new work any more; the reason is given."),
