--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.PooledHttpClient;
@@ -62,7 +63,19 @@
     boolean hasUntriedUpstream(String service, Set<String> triedUpstreams);
 
     /** Is called when an upstream failed that may have run a request and had sent nothing of the response. */
-    void onUpstreamFailed(Exchange exchange, String upstream);
+    void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure);
+
+    /** Decides whether a request may be sent to an upstream now; not if a part of its prompt crashes upstreams. */
+    boolean admit(CallerRequest request);
+
+    /** Returns whether a part of the prompt of a request is known to crash upstreams. */
+    boolean quarantined(CallerRequest request);
+
+    /** Returns whether a request that was unanswered at an upstream that may have crashed can be sent to another. */
+    boolean mayResend(CallerRequest request);
+
+    /** Is called when an upstream has begun the response to a request, so that the request did not crash it. */
+    void onResponseBegun(Exchange exchange);
 
     /** Is called once when a streamed response starts, with the time since the request was sent. */
     void onFirstByte(Exchange exchange, Duration timeToFirstByte);
