Accept only IP literals as addresses in records

Callers would have seen an entry that stalls: the address of an entry or of the origin may have held a host name, whose lookup blocks the event loop at each connection and each datagram to it.

Cause: Address.parse took any text before the last colon for an IP address, and InetSocketAddress looks it up. Signs in the port were accepted, too.

Change: Address.parse accepts IPv4 and IPv6 literals with a port in digits, as its documentation and that of the settings say.

No lookup was timed.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/Address.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/Address.java
@@ -1,5 +1,6 @@
 package org.masticcroft.gateway.http;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 
@@ -20,16 +21,22 @@
     }
 
     /**
-     * Parses {@code IP:PORT}.
+     * Parses {@code IP:PORT}. A host name is not accepted, because its lookup would block the event loop.
      *
      * @throws IllegalArgumentException if the text has another form
      */
     public static Address parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon < 1) {
+        String ip = text.substring(0, Math.max(0, colon));
+        String port = text.substring(colon + 1);
+        if (!isIpLiteral(ip) || !port.chars().allMatch(c -> c >= '0' && c <= '9')) {
             throw new IllegalArgumentException("address is not of the form IP:PORT: " + text);
         }
-        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        return new Address(ip, Integer.parseInt(port));
+    }
+
+    private static boolean isIpLiteral(String text) {
+        return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
     }
 
     /** Returns the socket address; an IP literal needs no DNS lookup. */
