Apply load reports although two entries share an address

Callers could get responses of an outdated version, or wait at a full engine: an entry node ignored the reports of an engine while the list held another entry with its address, for example that of its earlier process or one of another writer.

Cause: the table looked up any one upstream at the address, in the order of a hash map, and then compared the start of the process. If the other one came first, the report was dropped.

Change: the report goes to the upstreams at the address whose process it is of.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.http.Address;
@@ -48,14 +47,6 @@
         return byId.values().stream().filter(upstream -> !upstream.removed()).toList();
     }
 
-    /** Returns the listed upstream at an address, if any. */
-    public Optional<Upstream> byAddress(Address address) {
-        return byId.values().stream()
-                .filter(upstream ->
-                        !upstream.removed() && upstream.listing().address().equals(address))
-                .findFirst();
-    }
-
     /** Adds an upstream, or updates its listing. An upstream whose process was restarted starts with a new state. */
     public void put(UpstreamListing listing, long nowNanos) {
         Upstream known = byId.get(listing.id());
@@ -100,10 +91,18 @@
         }
     }
 
-    /** Applies a load report of the engine at an address; a report of an earlier process there is ignored. */
+    /**
+     * Applies a load report of the engine at an address. The list may contain other upstreams with the same address,
+     * for example an earlier process whose entry has not expired yet; they get no report.
+     */
     public void applyReport(Address address, LoadReport report, long nowNanos) {
-        byAddress(address)
-                .filter(upstream -> upstream.listing().startMillis() == report.startMillis())
-                .ifPresent(upstream -> upstream.applyReport(report, nowNanos));
+        for (Upstream upstream : byId.values()) {
+            UpstreamListing listing = upstream.listing();
+            if (!upstream.removed()
+                    && listing.startMillis() == report.startMillis()
+                    && listing.address().equals(address)) {
+                upstream.applyReport(report, nowNanos);
+            }
+        }
     }
 }
