Read a directory again after an unexpected failure

An entry would have served an outdated list and configuration for the rest of its life after one exception while a reply was handled.

Cause: DirectoryFollower scheduled its next read only after the listener had handled the records. An exception in the listener or in the client of the store left it without a next read.

Change: such a failure is logged and followed by a read of the whole directory after a delay. Records at which the listener failed do not count as confirmed.

No record is known that makes the listener throw.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -17,6 +17,9 @@
      */
     private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
+    /** Delay after an unexpected failure; the store charges for the full read that follows. */
+    private static final Duration FAILURE_DELAY = Duration.ofMillis(900);
+
     /** Maximum delay after several failed reads, and so the longest time until a recovered store is noticed. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(900);
 
@@ -91,14 +94,18 @@
     private void read() {
         int readGeneration = generation;
         long startNanos = time.nanoTime();
-        if (nextOffset < 0) {
-            store.readAll(directory, reply -> handleReply(reply, startNanos, readGeneration, true));
-        } else {
-            store.readFrom(
-                    directory,
-                    nextOffset,
-                    timing.maxWait(),
-                    reply -> handleReply(reply, startNanos, readGeneration, false));
+        try {
+            if (nextOffset < 0) {
+                store.readAll(directory, reply -> handleReply(reply, startNanos, readGeneration, true));
+            } else {
+                store.readFrom(
+                        directory,
+                        nextOffset,
+                        timing.maxWait(),
+                        reply -> handleReply(reply, startNanos, readGeneration, false));
+            }
+        } catch (RuntimeException e) {
+            readAllAfterFailure(e);
         }
     }
 
@@ -124,19 +131,18 @@
         boolean recovered = failedReads > 0;
         failedReads = 0;
         nextOffset = reply.nextOffset();
-        if (recovered) {
-            listener.storeRecovered(directory);
-        }
-        if (fullRead) {
-            listener.snapshot(directory, reply.changes());
-        } else {
-            listener.changed(directory, reply.changes());
-        }
         // A read without records lasted for the whole wait, so no newer record existed at its end.
         boolean unchanged = !fullRead && reply.changes().isEmpty();
         long elapsedNanos = time.nanoTime() - startNanos;
         long maxWaitNanos = timing.maxWait().toNanos();
-        listener.confirmed(directory, startNanos + (unchanged ? Math.min(maxWaitNanos, elapsedNanos) : 0));
+        long confirmedNanos = startNanos + (unchanged ? Math.min(maxWaitNanos, elapsedNanos) : 0);
+        try {
+            notifyListener(reply, fullRead, recovered, confirmedNanos);
+        } catch (RuntimeException | StackOverflowError e) {
+            // The changes may be applied in part, and a full read contains them all.
+            readAllAfterFailure(e);
+            return;
+        }
         if (!unchanged) {
             readAfterDelay(timing.changeInterval().toMillis());
         } else if (elapsedNanos < maxWaitNanos / 2) {
@@ -146,6 +152,25 @@
         }
     }
 
+    private void notifyListener(DirectoryReply reply, boolean fullRead, boolean recovered, long confirmedNanos) {
+        if (recovered) {
+            listener.storeRecovered(directory);
+        }
+        if (fullRead) {
+            listener.snapshot(directory, reply.changes());
+        } else {
+            listener.changed(directory, reply.changes());
+        }
+        listener.confirmed(directory, confirmedNanos);
+    }
+
+    /** Reads the whole directory after a delay, so that no failure ends the reads. */
+    private void readAllAfterFailure(Throwable failure) {
+        log.write(Event.INTERNAL_ERROR, failure, "component", "directory-follower", "directory", directory);
+        nextOffset = -1;
+        readAfterDelay(FAILURE_DELAY.toMillis());
+    }
+
     private void handleFailure(String reason) {
         failedReads++;
         if (failedReads == 1) {
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 
-/** Client of the platform's store. Replies arrive on the event loop. */
+/** Client of the platform's store. Each call receives exactly one reply, on the event loop. */
 public interface FleetStore {
     /** Reads the newest record of each key of a directory. */
     void readAll(Directory directory, Consumer<DirectoryReply> reply);
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -52,8 +53,84 @@
         }
     }
 
+    /** Pattern: a record that nobody foresaw makes the store's client or the listener throw. */
+    @Nested
+    class AFailure {
+        private void follow(FleetStore followed, DirectoryFollower.Listener listener) {
+            DirectoryFollower follower = DirectoryFollower.of(
+                    Directory.UPSTREAMS,
+                    followed,
+                    loop,
+                    time,
+                    new DirectoryFollower.Timing(MAX_WAIT, Duration.ofMillis(10)),
+                    listener,
+                    log);
+            loop.execute(follower::start);
+        }
+
+        /** Guards against a directory that is no longer followed once the listener has failed. */
+        @Test
+        void ofTheListenerIsFollowedByAReadOfTheWholeDirectory() throws InterruptedException {
+            CountDownLatch snapshots = new CountDownLatch(2);
+            CountDownLatch changes = new CountDownLatch(2);
+            follow(store, new IgnoringListener() {
+                @Override
+                public void snapshot(Directory directory, List<FleetChange> records) {
+                    snapshots.countDown();
+                }
+
+                @Override
+                public void changed(Directory directory, List<FleetChange> records) {
+                    changes.countDown();
+                    if (changes.getCount() > 0) {
+                        throw new IllegalStateException("an odd record");
+                    }
+                }
+            });
+            assertThat(snapshots.await(5, TimeUnit.SECONDS)).isTrue();
+            assertThat(changes.await(5, TimeUnit.SECONDS)).isTrue();
+        }
+
+        /** Guards against records that count as applied although the listener has failed at them. */
+        @Test
+        void ofTheListenerConfirmsNothing() throws InterruptedException {
+            CountDownLatch snapshots = new CountDownLatch(2);
+            AtomicInteger confirmations = new AtomicInteger();
+            follow(store, new IgnoringListener() {
+                @Override
+                public void snapshot(Directory directory, List<FleetChange> records) {
+                    snapshots.countDown();
+                    throw new IllegalStateException("an odd record");
+                }
+
+                @Override
+                public void confirmed(Directory directory, long nanos) {
+                    confirmations.incrementAndGet();
+                }
+            });
+            assertThat(snapshots.await(5, TimeUnit.SECONDS)).isTrue();
+            assertThat(confirmations).hasValue(0);
+        }
+
+        /** Guards against a directory that is no longer followed once a call to the store could not be made. */
+        @Test
+        void ofTheStoreClientIsFollowedByAnotherRead() throws InterruptedException {
+            CountDownLatch reads = new CountDownLatch(3);
+            follow(
+                    new ChangingStore() {
+                        @Override
+                        public void readAll(Directory directory, Consumer<DirectoryReply> reply) {
+                            reads.countDown();
+                            throw new IllegalStateException("no call");
+                        }
+                    },
+                    new IgnoringListener());
+            assertThat(reads.await(5, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     /** Store that has a change for each read. */
-    private static final class ChangingStore implements FleetStore {
+    private static class ChangingStore implements FleetStore {
         private final AtomicInteger reads = new AtomicInteger();
 
         @Override
@@ -79,7 +156,7 @@
         }
     }
 
-    private static final class IgnoringListener implements DirectoryFollower.Listener {
+    private static class IgnoringListener implements DirectoryFollower.Listener {
         @Override
         public void snapshot(Directory directory, List<FleetChange> changes) {}
 
