--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
@@ -42,7 +42,12 @@
 
     /** Writes a record as the operator or an upstream does; a null value deletes the key. */
     public void put(String topic, String key, String value) {
-        topic(topic).append(key, value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8));
+        putBytes(topic, key, value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Writes a record whose value may be any bytes, as another writer may do; no bytes delete the key. */
+    public void putBytes(String topic, String key, byte[] value) {
+        topic(topic).append(key, value);
     }
 
     /** Deletes the history of a topic; the newest record of each key stays. */
