--- a/standins/src/main/java/org/masticcroft/standins/platform/KeyedLog.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/KeyedLog.java
@@ -12,6 +12,8 @@
 
 /** One keyed topic: an append-only log that keeps the newest record of each key even after its history is deleted. */
 final class KeyedLog {
+    private static final byte[] NO_CONTENT = new byte[0];
+
     private final List<Entry> entries = new ArrayList<>();
     private final Map<String, Long> newestOffsets = new TreeMap<>();
     private long firstOffset;
@@ -29,6 +31,12 @@
         return offset;
     }
 
+    /** Appends a record without content. */
+    synchronized void appendEmptyRecord() {
+        entries.add(new Entry(endOffset(), "", NO_CONTENT));
+        notifyAll();
+    }
+
     /** Deletes the records before an offset; the newest one of each key stays readable by key. */
     synchronized void expire(long offset) {
         firstOffset = Math.max(firstOffset, Math.min(offset, endOffset()));
@@ -68,6 +76,10 @@
         out.writeLong(firstOffset);
         for (long offset = from; offset < endOffset(); offset++) {
             Entry entry = entries.get((int) offset);
+            if (entry.value() == NO_CONTENT) {
+                out.writeInt(0);
+                continue;
+            }
             byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
             out.writeInt(1 + key.length + entry.value().length);
             out.writeByte(key.length);
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
@@ -50,6 +50,11 @@
         topic(topic).append(key, value);
     }
 
+    /** Writes a record without content, which has not even the length of a key. */
+    public void putEmptyRecord(String topic) {
+        topic(topic).appendEmptyRecord();
+    }
+
     /** Deletes the history of a topic; the newest record of each key stays. */
     public void deleteHistory(String topic) {
         topic(topic).expire(Long.MAX_VALUE);
