Use an upstream no more once its entry is unreadable

Requests went on to an engine after another writer had overwritten its entry, until the whole list was read again.

Cause: FleetState logged an unreadable record and left the upstream as it was.

Change: the newest record of an id decides. An unreadable one removes the upstream at once, also shortly after an outage of the store, and the next entry that the engine writes lists it again. Running requests go on.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -111,7 +111,7 @@
     @Override
     public void changed(Directory directory, List<FleetChange> changes) {
         for (FleetChange change : changes) {
-            applyChange(change);
+            applyChange(directory, change);
         }
     }
 
@@ -139,7 +139,7 @@
         }
     }
 
-    private void applyChange(FleetChange change) {
+    private void applyChange(Directory directory, FleetChange change) {
         long now = time.nanoTime();
         if (change instanceof FleetChange.ConfigPublished published) {
             applyConfig(published.config());
@@ -156,6 +156,11 @@
             }
         } else if (change instanceof FleetChange.Unreadable unreadable) {
             log.write(Event.CONFIG_RECORD_IGNORED, "key", unreadable.key(), "reason", unreadable.reason());
+            if (directory == Directory.UPSTREAMS) {
+                // The newest record of this id names no upstream. It is replaced when the upstream writes again.
+                deferredRemovals.remove(unreadable.key());
+                upstreams.remove(unreadable.key(), now);
+            }
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -0,0 +1,96 @@
+package org.masticcroft.gateway.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.account.AccountRecorder;
+import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.dispatch.UpstreamTable;
+import org.masticcroft.gateway.fleet.Directory;
+import org.masticcroft.gateway.fleet.FleetChange;
+import org.masticcroft.gateway.fleet.NamedVersions;
+import org.masticcroft.gateway.fleet.StoreFreshness;
+import org.masticcroft.gateway.fleet.UpstreamListing;
+import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.kernel.time.ManualTimeSource;
+
+class FleetStateTest {
+    private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
+    private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
+    private final UpstreamTable table = UpstreamTable.of(log);
+    private final FleetState fleet = FleetState.empty(
+            time,
+            table,
+            NamedVersions.empty(time),
+            StoreFreshness.unconfirmed(time),
+            log,
+            model -> {},
+            AccountRecorder.none());
+
+    @AfterEach
+    void close() {
+        log.close();
+    }
+
+    private static FleetChange listed(String id) {
+        return new FleetChange.UpstreamListed(
+                new UpstreamListing(id, "s", new Address("10.0.0.1", 80), "z", 4, false, 1, OptionalLong.empty()));
+    }
+
+    private static FleetChange unreadable(String id) {
+        return new FleetChange.Unreadable(id, "not an entry");
+    }
+
+    private List<String> ids() {
+        return table.listed().stream().map(Upstream::id).sorted().toList();
+    }
+
+    /** Pattern: another writer overwrites the entry of an upstream. */
+    @Nested
+    class AnUnreadableEntry {
+        /** Guards against requests to an upstream that the list names no more. */
+        @Test
+        void endsTheUseOfItsUpstreamAlone() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b")));
+            fleet.changed(Directory.UPSTREAMS, List.of(unreadable("a"), unreadable("c")));
+
+            assertThat(ids()).containsExactly("b");
+        }
+
+        /** Guards against an upstream that stays unused although it has written its entry again. */
+        @Test
+        void isReplacedByTheNextSoundOne() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a")));
+            fleet.changed(Directory.UPSTREAMS, List.of(unreadable("a"), listed("a")));
+
+            assertThat(ids()).containsExactly("a");
+        }
+
+        /** Guards against an upstream that is kept because the store was down shortly before. */
+        @Test
+        void takesEffectAtOnceWhileRemovalsAreDeferred() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b")));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            fleet.snapshot(Directory.UPSTREAMS, List.of(unreadable("a"), listed("b")));
+
+            assertThat(ids()).containsExactly("b");
+        }
+
+        /** Guards against a record of the operator that ends the use of an upstream by its key. */
+        @Test
+        void isOfTheListOfUpstreams() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("config")));
+            fleet.changed(Directory.OPERATOR, List.of(unreadable("config")));
+
+            assertThat(ids()).containsExactly("config");
+        }
+    }
+}
