Record a deferred removal of an upstream once

An engine that was back after an outage of the store could be dropped from the list until its next entry.

Cause: removals are deferred in a list. One that was read from the log and again with the whole list stood there twice, and the return of the engine took out only one.

Change: the deferred removals are a set.

Result: FleetStateTest.isVoidOnceTheUpstreamIsListedAgain failed before and passes now.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -35,7 +37,7 @@
     private final DecisionLog log;
     private final Consumer<String> newVersionListener;
     private final AccountRecorder account;
-    private final List<String> deferredRemovals = new ArrayList<>();
+    private final Set<String> deferredRemovals = new LinkedHashSet<>();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.OptionalLong;
@@ -93,4 +94,22 @@
             assertThat(ids()).containsExactly("config");
         }
     }
+
+    /** Pattern: entries expire during an outage of the store and return within seconds. */
+    @Nested
+    class ADeferredRemoval {
+        /** Guards against a removal that was recorded twice and outlasts the return of the upstream. */
+        @Test
+        void isVoidOnceTheUpstreamIsListedAgain() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a")));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
+            fleet.snapshot(Directory.UPSTREAMS, List.of());
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
+            time.advance(Duration.ofSeconds(5));
+            fleet.applyDeferredRemovals(time.nanoTime());
+
+            assertThat(ids()).containsExactly("a");
+        }
+    }
 }
