Keep periodic work going after an unexpected failure

A sidecar would have stopped to update its engine, and an entry to dispatch queued requests, after one exception in a periodic task or a reply.

Cause: an event loop ends a task at a fixed rate at its first exception, and the sidecar scheduled its next read of the operator's directory, and its next announcement, only behind code that may throw.

Change: periodic tasks run as RepeatingTask, which logs a failed run and goes on. The sidecar schedules its next read whatever happens, and an announcement that fails is started again by the next report of the engine.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -152,12 +152,12 @@
         exposeMetrics();
         loop.execute(operatorFollower::start);
         loop.execute(upstreamsFollower::start);
-        loop.scheduleAtFixedRate(
-                this::dispatchQueues, QUEUE_INTERVAL_MILLIS, QUEUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                this::checkLiveness, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                datagrams::subscribe, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        RepeatingTask.of("queues", this::dispatchQueues, log)
+                .schedule(loop, QUEUE_INTERVAL_MILLIS, QUEUE_INTERVAL_MILLIS);
+        RepeatingTask.of("liveness", this::checkLiveness, log)
+                .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
+        RepeatingTask.of("subscriptions", datagrams::subscribe, log)
+                .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
     }
 
     private void exposeMetrics() {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -149,11 +149,8 @@
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
 
         loop.execute(this::readOperatorDirectory);
-        loop.scheduleAtFixedRate(
-                this::readEngineReport,
-                ENGINE_REPORT_INTERVAL_MILLIS,
-                ENGINE_REPORT_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        RepeatingTask.of("engine-report", this::readEngineReport, log)
+                .schedule(loop, ENGINE_REPORT_INTERVAL_MILLIS, ENGINE_REPORT_INTERVAL_MILLIS);
     }
 
     @Override
@@ -162,19 +159,31 @@
     }
 
     private void readOperatorDirectory() {
-        dependencies.store().readAll(Directory.OPERATOR, reply -> {
-            boolean read = reply.status() == DirectoryReply.Status.READ
-                    && !reply.changes().isEmpty();
+        try {
+            dependencies.store().readAll(Directory.OPERATOR, this::handleOperatorReply);
+        } catch (RuntimeException e) {
+            log.write(Event.INTERNAL_ERROR, e, "component", "operator-directory");
+            readOperatorDirectoryAfter(STORE_RETRY_DELAY_MILLIS);
+        }
+    }
+
+    private void handleOperatorReply(DirectoryReply reply) {
+        long delayMillis = STORE_RETRY_DELAY_MILLIS;
+        try {
             if (reply.status() == DirectoryReply.Status.READ) {
                 reply.changes().forEach(this::applyChange);
+                delayMillis = reply.changes().isEmpty() ? STORE_RETRY_DELAY_MILLIS : OPERATOR_READ_INTERVAL_MILLIS;
             } else {
                 log.write(Event.STORE_LOST, "directory", Directory.OPERATOR, "reason", reply.reason());
             }
-            loop.schedule(
-                    this::readOperatorDirectory,
-                    read ? OPERATOR_READ_INTERVAL_MILLIS : STORE_RETRY_DELAY_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        });
+        } catch (RuntimeException e) {
+            log.write(Event.INTERNAL_ERROR, e, "component", "operator-directory");
+        }
+        readOperatorDirectoryAfter(delayMillis);
+    }
+
+    private void readOperatorDirectoryAfter(long delayMillis) {
+        loop.schedule(this::readOperatorDirectory, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void applyChange(FleetChange change) {
@@ -263,11 +272,12 @@
 
     /** Announces the held pieces to the own region, and less often to the other regions. */
     private void announcePieces() {
+        announcing = false;
         List<HeldPieces> held = updater.heldPieces(uploads.freeSlots());
-        announcing = !held.isEmpty();
-        if (!announcing) {
+        if (held.isEmpty()) {
             return;
         }
+        announcing = true;
         loop.schedule(this::announcePieces, ANNOUNCEMENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         announcements++;
         announce(held, regionRecipients.next(updater.regionPeerIps()));
