--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -37,7 +39,7 @@
     private final Consumer<String> newVersionListener;
     private final AccountRecorder account;
     private final ExecutionPauses pauses;
-    private final List<String> deferredRemovals = new ArrayList<>();
+    private final Set<String> deferredRemovals = new LinkedHashSet<>();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
@@ -114,7 +116,7 @@
     @Override
     public void changed(Directory directory, List<FleetChange> changes) {
         for (FleetChange change : changes) {
-            applyChange(change);
+            applyChange(directory, change);
         }
     }
 
@@ -142,7 +144,7 @@
         }
     }
 
-    private void applyChange(FleetChange change) {
+    private void applyChange(Directory directory, FleetChange change) {
         long now = time.nanoTime();
         if (change instanceof FleetChange.ConfigPublished published) {
             applyConfig(published.config());
@@ -159,6 +161,11 @@
             }
         } else if (change instanceof FleetChange.Unreadable unreadable) {
             log.write(Event.CONFIG_RECORD_IGNORED, "key", unreadable.key(), "reason", unreadable.reason());
+            if (directory == Directory.UPSTREAMS) {
+                // The newest record of this id names no upstream. It is replaced when the upstream writes again.
+                deferredRemovals.remove(unreadable.key());
+                upstreams.remove(unreadable.key(), now);
+            }
         }
     }
 
