Do not take a response without an id for that of a request on a reused connection

A caller was told that a request had not run while an upstream ran it, and a stream that must not run twice was sent to a second upstream. The response that caused this carried no attempt id: it was accepted as the response to whichever request the connection carried, also when it was a refusal that the upstream wrote once more.

Now such a response is accepted only for the first request of a connection, where no other can be meant. The connection is closed after it. On a reused connection the call fails as UNIDENTIFIED, with the verdict MAY_HAVE_RUN, and the connection is closed.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -14,6 +14,7 @@
 import org.masticcroft.gateway.http.Forwarding;
 import org.masticcroft.gateway.http.ResponseHead;
 import org.masticcroft.gateway.http.ResponseListener;
+import org.masticcroft.gateway.http.ResponseMatch;
 import org.masticcroft.kernel.verdict.Verdict;
 
 /** One attempt to have a request served by an upstream. */
@@ -99,9 +100,12 @@
     }
 
     @Override
-    public boolean accepts(HttpResponse response) {
+    public ResponseMatch match(HttpResponse response) {
         Optional<String> id = context.dialect().decode(response).attemptId();
-        return id.isEmpty() || id.get().equals(exchange.id());
+        if (id.isEmpty()) {
+            return ResponseMatch.UNIDENTIFIED;
+        }
+        return id.get().equals(exchange.id()) ? ResponseMatch.OWN : ResponseMatch.OTHER;
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallFailure.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallFailure.java
@@ -12,6 +12,8 @@
     CLOSED_EARLY(Verdict.MAY_HAVE_RUN),
     /** The bytes received are not valid HTTP. */
     MALFORMED(Verdict.MAY_HAVE_RUN),
+    /** A response on a reused connection does not state to which of the requests on the connection it belongs. */
+    UNIDENTIFIED(Verdict.MAY_HAVE_RUN),
     /** The response did not arrive in time. */
     TIMED_OUT(Verdict.MAY_HAVE_RUN);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -30,6 +30,7 @@
     private final Address address;
     private ChannelHandlerContext context;
     private ResponseListener listener;
+    private boolean reused;
     private boolean accepted;
     private boolean reusable;
     private boolean wasReset;
@@ -120,9 +121,14 @@
                 countOther();
                 return;
             }
-            accepted = listener.accepts(head);
+            ResponseMatch match = listener.match(head);
+            if (match == ResponseMatch.UNIDENTIFIED && reused) {
+                fail(CallFailure.UNIDENTIFIED);
+                return;
+            }
+            accepted = match != ResponseMatch.OTHER;
             if (accepted) {
-                readHead(head);
+                readHead(head, match);
             } else {
                 countOther();
             }
@@ -132,8 +138,9 @@
         }
     }
 
-    private void readHead(HttpResponse head) {
-        reusable = HttpUtil.isKeepAlive(head)
+    private void readHead(HttpResponse head, ResponseMatch match) {
+        reusable = match == ResponseMatch.OWN
+                && HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         idleTimeout = KeepAlive.timeout(head.headers().get(KeepAlive.HEADER))
                 .map(limit -> limit.minus(IDLE_TIMEOUT_MARGIN))
@@ -176,6 +183,7 @@
             return;
         }
         idleSinceNanos = client.time().nanoTime();
+        reused = true;
         ended = finished;
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
@@ -6,11 +6,11 @@
 /** Receives the parts of a response in order, on the event loop. */
 public interface ResponseListener {
     /**
-     * Returns whether a response belongs to the request. An upstream may send the response to an earlier request late;
-     * such a response is skipped.
+     * Returns whether a response belongs to the request. An upstream may send the response to an earlier request late,
+     * or once more; such a response is skipped.
      */
-    default boolean accepts(HttpResponse head) {
-        return true;
+    default ResponseMatch match(HttpResponse head) {
+        return ResponseMatch.OWN;
     }
 
     /** Called with the status and the headers. */
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -77,6 +77,35 @@
         }
     }
 
+    @Nested
+    class ResponsesWithoutAnId {
+        private static final String UNIDENTIFIED = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+
+        /** Guards against a response that is given to a request although it may belong to an earlier one. */
+        @Test
+        void failTheCallOnAReusedConnectionAndCloseIt() throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) ->
+                    out.write(MisbehavingServer.bytes(request == 1 ? response("first", "one") : UNIDENTIFIED)))) {
+                send(server, "first");
+
+                assertThat(send(server, "second")).isEqualTo(CallFailure.UNIDENTIFIED.name());
+                assertThat(send(server, "first")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against calls to a server without ids that fail because the connection was kept. */
+        @Test
+        void areDeliveredOnNewConnectionsOnly() throws Exception {
+            try (MisbehavingServer server =
+                    MisbehavingServer.start((request, out) -> out.write(MisbehavingServer.bytes(UNIDENTIFIED)))) {
+                assertThat(send(server, "first")).isEqualTo("one");
+                assertThat(send(server, "second")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+    }
+
     @Nested
     class EndlessBytes {
         /** Guards against a call that never ends, and against memory that grows with what a server sends. */
@@ -149,8 +178,12 @@
         }
 
         @Override
-        public boolean accepts(HttpResponse head) {
-            return id.equals(head.headers().get(ID_HEADER));
+        public ResponseMatch match(HttpResponse head) {
+            String responseId = head.headers().get(ID_HEADER);
+            if (responseId == null) {
+                return ResponseMatch.UNIDENTIFIED;
+            }
+            return responseId.equals(id) ? ResponseMatch.OWN : ResponseMatch.OTHER;
         }
 
         @Override
