Send a request only on a connection that has not carried its id yet

An idempotent request got 503, and so was reported as not run, while an upstream ran it. The request had been refused at an address and was sent to the same address again, under another upstream id, on the connection that had carried the refusal. The upstream wrote the refusal once more, and the attempt id is the same for both.

The same cause let a late second copy of a response reach a caller that repeats an attempt id. The existing test afterACompleteResponseNeverReachACaller sends one id five times and failed once in two runs on the code before ("fine" expected, "extra" received). It is unchanged.

A connection now remembers the hashes of the ids that it has carried, and the pool does not choose it for a request with one of them. To bound the memory, a connection is closed after 100 requests with an id.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -99,6 +99,11 @@
         onFailure(sent ? CallFailure.TIMED_OUT : CallFailure.NOT_CONNECTED);
     }
 
+    @Override
+    public String requestId() {
+        return exchange.id();
+    }
+
     @Override
     public ResponseMatch match(HttpResponse response) {
         Optional<String> id = context.dialect().decode(response).attemptId();
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 /** One connection of the HTTP client. It carries one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -26,11 +28,15 @@
     /** Bytes of responses to earlier requests that are skipped while a response is awaited. */
     private static final int MAX_SKIPPED_BYTES = 65_536;
 
+    /** Requests with an id on one connection; bounds the memory for the hashes of their ids. */
+    private static final int MAX_REQUESTS = 100;
+
     private final PooledHttpClient client;
     private final Address address;
     private ChannelHandlerContext context;
     private ResponseListener listener;
-    private boolean reused;
+    private final Set<Integer> requestIdHashes = new HashSet<>();
+    private int requests;
     private boolean accepted;
     private boolean reusable;
     private boolean wasReset;
@@ -54,8 +60,21 @@
         return context.channel().isActive() && idleTime.compareTo(maxIdle) <= 0 && idleTime.compareTo(idleTimeout) < 0;
     }
 
+    /**
+     * Returns whether the connection has carried a request with the id. A late copy of its response could not be told
+     * from the response to another request with the same id. May also be true for an id with the same hash, which costs
+     * a new connection.
+     */
+    boolean hasCarried(String requestId) {
+        return requestIdHashes.contains(requestId.hashCode());
+    }
+
     Call start(FullHttpRequest request, ResponseListener newListener) {
         listener = newListener;
+        requests++;
+        if (!newListener.requestId().isEmpty()) {
+            requestIdHashes.add(newListener.requestId().hashCode());
+        }
         accepted = false;
         reusable = false;
         otherResponses = 0;
@@ -122,7 +141,7 @@
                 return;
             }
             ResponseMatch match = listener.match(head);
-            if (match == ResponseMatch.UNIDENTIFIED && reused) {
+            if (match == ResponseMatch.UNIDENTIFIED && requests > 1) {
                 fail(CallFailure.UNIDENTIFIED);
                 return;
             }
@@ -140,6 +159,7 @@
 
     private void readHead(HttpResponse head, ResponseMatch match) {
         reusable = match == ResponseMatch.OWN
+                && requestIdHashes.size() < MAX_REQUESTS
                 && HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         idleTimeout = KeepAlive.timeout(head.headers().get(KeepAlive.HEADER))
@@ -183,7 +203,6 @@
             return;
         }
         idleSinceNanos = client.time().nanoTime();
-        reused = true;
         ended = finished;
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -62,7 +63,7 @@
      * @return the call, which can be cancelled
      */
     public Call send(Address address, FullHttpRequest request, Duration maxIdle, ResponseListener listener) {
-        ClientConnection pooled = takeIdle(address, maxIdle);
+        ClientConnection pooled = takeIdle(address, maxIdle, listener.requestId());
         if (pooled != null) {
             return pooled.start(request, listener);
         }
@@ -106,16 +107,23 @@
         }
     }
 
-    private ClientConnection takeIdle(Address address, Duration maxIdle) {
+    /** Takes the newest connection that has not carried a request with the same id; null if there is none. */
+    private ClientConnection takeIdle(Address address, Duration maxIdle, String requestId) {
         Deque<ClientConnection> connections = idle.get(address);
         if (connections == null || maxIdle.isZero()) {
             return null;
         }
-        ClientConnection newest = connections.peekLast();
-        if (newest == null || !newest.reusableWithin(maxIdle)) {
-            return null;
+        for (Iterator<ClientConnection> newestFirst = connections.descendingIterator(); newestFirst.hasNext(); ) {
+            ClientConnection connection = newestFirst.next();
+            if (!connection.reusableWithin(maxIdle)) {
+                return null;
+            }
+            if (!connection.hasCarried(requestId)) {
+                newestFirst.remove();
+                return connection;
+            }
         }
-        return connections.removeLast();
+        return null;
     }
 
     private void connect(Address address, PendingCall pending) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
@@ -5,6 +5,11 @@
 
 /** Receives the parts of a response in order, on the event loop. */
 public interface ResponseListener {
+    /** Returns the id of the request, which its response names; empty if the protocol of the call has no ids. */
+    default String requestId() {
+        return "";
+    }
+
     /**
      * Returns whether a response belongs to the request. An upstream may send the response to an earlier request late,
      * or once more; such a response is skipped.
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -13,7 +13,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -49,6 +51,15 @@
         return recorder.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting", e);
+        }
+    }
+
     @Nested
     class LateResponses {
         /** Guards against a caller that gets the second copy of the response to an earlier request. */
@@ -65,6 +76,35 @@
             }
         }
 
+        /** Guards against a copy that cannot be told from the response, because the same request was sent again. */
+        @Test
+        void isNotReadByTheSameRequestSentAgain() throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                String copy = request == 1 ? "" : response("first", "old");
+                out.write(MisbehavingServer.bytes(copy + response("first", "new")));
+            })) {
+                send(server, "first");
+
+                assertThat(send(server, "first")).isEqualTo("new");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against memory that grows with the number of requests on a connection, whose ids are remembered. */
+        @Test
+        void areToldApartForABoundedNumberOfRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) ->
+                    out.write(MisbehavingServer.bytes(response("r" + served.incrementAndGet(), "one"))))) {
+                for (int request = 1; request <= 100; request++) {
+                    assertThat(send(server, "r" + request)).isEqualTo("one");
+                }
+                assertThat(server.connections()).isEqualTo(1);
+                assertThat(send(server, "r101")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
         /** Guards against reuse of a connection on which bytes without a request have arrived. */
         @Test
         void endsTheConnectionIfItComesWithTheResponse() throws Exception {
@@ -75,6 +115,47 @@
                 assertThat(server.connections()).isEqualTo(2);
             }
         }
+
+        /** Guards against reuse of such a connection by a request with another id. */
+        @Test
+        void endsTheConnectionAlsoForOtherRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                String own = response("r" + served.incrementAndGet(), "one");
+                out.write(MisbehavingServer.bytes(own + own));
+            })) {
+                assertThat(send(server, "r1")).isEqualTo("one");
+                assertThat(send(server, "r2")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against reuse of a connection on which a copy has arrived while no request was open. */
+        @Test
+        void endsTheConnectionIfItComesBetweenTwoRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            CountDownLatch copied = new CountDownLatch(1);
+            CountDownLatch delivered = new CountDownLatch(1);
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                byte[] own = MisbehavingServer.bytes(response("r" + served.incrementAndGet(), "one"));
+                out.write(own);
+                if (served.get() == 1) {
+                    out.flush();
+                    awaitQuietly(delivered);
+                    out.write(own);
+                    out.flush();
+                    copied.countDown();
+                }
+            })) {
+                assertThat(send(server, "r1")).isEqualTo("one");
+                delivered.countDown();
+                awaitQuietly(copied);
+                // Time for the event loop to read the copy.
+                Thread.sleep(100);
+                assertThat(send(server, "r2")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
     }
 
     @Nested
@@ -177,6 +258,11 @@
             this.id = id;
         }
 
+        @Override
+        public String requestId() {
+            return id;
+        }
+
         @Override
         public ResponseMatch match(HttpResponse head) {
             String responseId = head.headers().get(ID_HEADER);
