Send a stream that cannot be resumed on a new connection

A caller got 502 for a stream that cannot be resumed, when its upstream closed the connection that had been kept from an earlier request. Such a stream may run at most once, so it cannot be sent again after that. Orders already got a new connection each; streams were told apart by their kind only.

A connection is now reused only for requests that may be repeated. This also keeps a repeated refusal away from streams that must not run twice.

Measured: the new test in EntryNodeTest failed before (502 instead of 200) and passes now.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
-import org.masticcroft.gateway.config.RouteKind;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.Call;
 import org.masticcroft.gateway.http.CallFailure;
@@ -49,9 +48,9 @@
         UpstreamAttempt attempt = new UpstreamAttempt(exchange, context, upstream);
         upstream.recordSend(exchange.promptTokens(), attempt.startNanos);
         // If the upstream closes a reused connection while the request is on its way, it is unknown whether the request
-        // ran. A request that may run at most once therefore gets a new connection.
-        Duration maxReuseIdleTime =
-                exchange.route().kind() == RouteKind.AT_MOST_ONCE ? Duration.ZERO : MAX_REUSE_IDLE_TIME;
+        // ran. A request that may run at most once, such as a stream that cannot be resumed, therefore gets a new
+        // connection.
+        Duration maxReuseIdleTime = exchange.route().repeatable() ? MAX_REUSE_IDLE_TIME : Duration.ZERO;
         attempt.call = context.httpClient()
                 .send(
                         upstream.listing().address(),
