Reject a head that was merged from two responses

A refusal that an upstream wrote once more and truncated inside a header value or the reason phrase was completed by the response to the next request: the status and the statement "not run" came from the refusal, the id from the response. The call took it for a refusal of the request that had run. Only requests that may be repeated use such a connection.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -140,6 +140,10 @@
                 countOther();
                 return;
             }
+            if (MergedHead.isMerged(head)) {
+                fail(CallFailure.MALFORMED);
+                return;
+            }
             ResponseMatch match = listener.match(head);
             if (match == ResponseMatch.UNIDENTIFIED && requests > 1) {
                 fail(CallFailure.UNIDENTIFIED);
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -11,8 +11,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -42,13 +45,17 @@
     }
 
     private String send(MisbehavingServer server, String id) throws Exception {
+        return start(server, id).result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Recorder start(MisbehavingServer server, String id) {
         Recorder recorder = new Recorder(id);
         loop.execute(() -> client.send(
                 server.address(),
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + id),
                 MAX_IDLE,
                 recorder));
-        return recorder.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return recorder;
     }
 
     private static void awaitQuietly(CountDownLatch latch) {
@@ -158,6 +165,35 @@
         }
     }
 
+    @Nested
+    class TruncatedCopies {
+        /** Guards against a head that begins as the refusal of one request and ends as the response to another. */
+        @Test
+        void areNotMergedWithTheNextResponse() throws Exception {
+            String refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: first\r\nContent-Length: 2\r\n\r\nno";
+            for (int cut = 1; cut <= refusal.length(); cut++) {
+                String copy = refusal.substring(0, cut);
+                try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                    out.write(MisbehavingServer.bytes(
+                            request == 1 ? response("first", "one") : copy + response("second", "two")));
+                    if (request == 2) {
+                        out.flush();
+                        throw new IOException("closes the connection");
+                    }
+                })) {
+                    send(server, "first");
+                    Recorder second = start(server, "second");
+                    second.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+                    assertThat(second.heads)
+                            .as("after the copy %s", copy)
+                            .allMatch(head -> head.status().code() == 200)
+                            .noneMatch(head -> head.headers().contains("Not-Run"));
+                }
+            }
+        }
+    }
+
     @Nested
     class ResponsesWithoutAnId {
         private static final String UNIDENTIFIED = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
@@ -248,9 +284,10 @@
         }
     }
 
-    /** Records the body of the response, or the name of the failure. */
+    /** Records the heads and the body of the response, or the name of the failure. */
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
+        private final List<HttpResponse> heads = new CopyOnWriteArrayList<>();
         private final StringBuilder body = new StringBuilder();
         private final String id;
 
@@ -273,7 +310,9 @@
         }
 
         @Override
-        public void onHead(HttpResponse head) {}
+        public void onHead(HttpResponse head) {
+            heads.add(head);
+        }
 
         @Override
         public void onContent(ByteBuf content) {
