Close a connection on which a response to another request was skipped

A server that has written the response to an earlier request once more is out of step with the requests, and its connection stayed in the pool. Each later request on it depended on the id alone.

Such a connection now ends with the awaited response. A response without an id after a skipped one fails the call, also on the first request.

Measured: endsTheConnectionAfterTheAwaitedResponse failed before (1 connection instead of 2) and passes now.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -37,6 +37,7 @@
     private ResponseListener listener;
     private final Set<Integer> requestIdHashes = new HashSet<>();
     private int requests;
+    private boolean outOfStep;
     private boolean accepted;
     private boolean reusable;
     private boolean wasReset;
@@ -145,10 +146,11 @@
                 return;
             }
             ResponseMatch match = listener.match(head);
-            if (match == ResponseMatch.UNIDENTIFIED && requests > 1) {
+            if (match == ResponseMatch.UNIDENTIFIED && (requests > 1 || outOfStep)) {
                 fail(CallFailure.UNIDENTIFIED);
                 return;
             }
+            outOfStep |= match == ResponseMatch.OTHER;
             accepted = match != ResponseMatch.OTHER;
             if (accepted) {
                 readHead(head, match);
@@ -163,6 +165,7 @@
 
     private void readHead(HttpResponse head, ResponseMatch match) {
         reusable = match == ResponseMatch.OWN
+                && !outOfStep
                 && requestIdHashes.size() < MAX_REQUESTS
                 && HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -83,6 +83,24 @@
             }
         }
 
+        /** Guards against a kept connection to a server whose responses are out of step with the requests. */
+        @Test
+        void endsTheConnectionAfterTheAwaitedResponse() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                int number = served.incrementAndGet();
+                String copy = number == 2 ? response("r1", "one") : "";
+                out.write(MisbehavingServer.bytes(copy + response("r" + number, "own")));
+            })) {
+                send(server, "r1");
+                assertThat(send(server, "r2")).isEqualTo("own");
+                assertThat(server.connections()).isEqualTo(1);
+
+                assertThat(send(server, "r3")).isEqualTo("own");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
         /** Guards against a copy that cannot be told from the response, because the same request was sent again. */
         @Test
         void isNotReadByTheSameRequestSentAgain() throws Exception {
