Fail a call whose new connection was closed before its first request

A server may send bytes on a new connection before it has read a request, for example a refusal. If the client reads them between the end of the handshake and the request, it closes the connection. The request was then written to the closed connection, and the call ended only with its deadline.

The call now fails at once as NOT_CONNECTED. That it did not run is true, since no byte of the request was sent.

Measured: the new test of the connection, on an embedded channel, failed before (the call never ended) and passes now. Two trials with a real server and a busy event loop did not reach this order of events, so how often it occurs is not known.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -70,7 +70,16 @@
         return requestIdHashes.contains(requestId.hashCode());
     }
 
+    /**
+     * Sends a request. The call fails at once, before anything is sent, if a new connection was closed before its first
+     * request, for example because the server has sent bytes on it.
+     */
     Call start(FullHttpRequest request, ResponseListener newListener) {
+        if (!context.channel().isActive()) {
+            request.release();
+            newListener.onFailure(CallFailure.NOT_CONNECTED);
+            return new ConnectionCall(newListener);
+        }
         listener = newListener;
         requests++;
         if (!newListener.requestId().isEmpty()) {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -4,10 +4,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -183,6 +186,22 @@
         }
     }
 
+    @Nested
+    class BytesBeforeTheFirstRequest {
+        /** Guards against a call without an end, because its new connection was closed before it was used. */
+        @Test
+        void failTheCall() throws Exception {
+            ClientConnection connection = new ClientConnection(client, new Address("127.0.0.1", 1));
+            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+            channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", UTF_8));
+            Recorder recorder = new Recorder("first");
+
+            connection.start(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/first"), recorder);
+
+            assertThat(recorder.result).isCompletedWithValue(CallFailure.NOT_CONNECTED.name());
+        }
+    }
+
     @Nested
     class TruncatedCopies {
         /** Guards against a head that begins as the refusal of one request and ends as the response to another. */
