--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -8,13 +8,13 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.masticcroft.gateway.config.RouteKind;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.Call;
 import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.Forwarding;
 import org.masticcroft.gateway.http.ResponseHead;
 import org.masticcroft.gateway.http.ResponseListener;
+import org.masticcroft.gateway.http.ResponseMatch;
 import org.masticcroft.kernel.verdict.Verdict;
 
 /** One attempt to have a request served by an upstream. */
@@ -52,9 +52,9 @@
         UpstreamAttempt attempt = new UpstreamAttempt(exchange, context, upstream);
         upstream.recordSend(exchange.promptTokens(), attempt.startNanos);
         // If the upstream closes a reused connection while the request is on its way, it is unknown whether the request
-        // ran. A request that may run at most once therefore gets a new connection.
-        Duration maxReuseIdleTime =
-                exchange.route().kind() == RouteKind.AT_MOST_ONCE ? Duration.ZERO : MAX_REUSE_IDLE_TIME;
+        // ran. A request that may run at most once, such as a stream that cannot be resumed, therefore gets a new
+        // connection.
+        Duration maxReuseIdleTime = exchange.route().repeatable() ? MAX_REUSE_IDLE_TIME : Duration.ZERO;
         attempt.call = context.httpClient()
                 .send(
                         upstream.listing().address(),
@@ -120,9 +120,17 @@
     }
 
     @Override
-    public boolean accepts(HttpResponse response) {
+    public String requestId() {
+        return exchange.id();
+    }
+
+    @Override
+    public ResponseMatch match(HttpResponse response) {
         Optional<String> id = context.dialect().decode(response).attemptId();
-        return id.isEmpty() || id.get().equals(exchange.id());
+        if (id.isEmpty()) {
+            return ResponseMatch.UNIDENTIFIED;
+        }
+        return id.get().equals(exchange.id()) ? ResponseMatch.OWN : ResponseMatch.OTHER;
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 /** One connection of the HTTP client. It carries one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -28,10 +30,16 @@
     /** Bytes of responses to earlier requests that are skipped while a response is awaited. */
     private static final int MAX_SKIPPED_BYTES = 65_536;
 
+    /** Requests with an id on one connection; bounds the memory for the hashes of their ids. */
+    private static final int MAX_REQUESTS = 100;
+
     private final PooledHttpClient client;
     private final Address address;
     private ChannelHandlerContext context;
     private ResponseListener listener;
+    private final Set<Integer> requestIdHashes = new HashSet<>();
+    private int requests;
+    private boolean outOfStep;
     private boolean accepted;
     private boolean reusable;
     private boolean wasReset;
@@ -55,8 +63,30 @@
         return context.channel().isActive() && idleTime.compareTo(maxIdle) <= 0 && idleTime.compareTo(idleTimeout) < 0;
     }
 
+    /**
+     * Returns whether the connection has carried a request with the id. A late copy of its response could not be told
+     * from the response to another request with the same id. May also be true for an id with the same hash, which costs
+     * a new connection.
+     */
+    boolean hasCarried(String requestId) {
+        return requestIdHashes.contains(requestId.hashCode());
+    }
+
+    /**
+     * Sends a request. The call fails at once, before anything is sent, if a new connection was closed before its first
+     * request, for example because the server has sent bytes on it.
+     */
     Call start(FullHttpRequest request, ResponseListener newListener) {
+        if (!context.channel().isActive()) {
+            request.release();
+            newListener.onFailure(CallFailure.NOT_CONNECTED);
+            return new ConnectionCall(newListener);
+        }
         listener = newListener;
+        requests++;
+        if (!newListener.requestId().isEmpty()) {
+            requestIdHashes.add(newListener.requestId().hashCode());
+        }
         accepted = false;
         reusable = false;
         otherResponses = 0;
@@ -122,9 +152,19 @@
                 countOther();
                 return;
             }
-            accepted = listener.accepts(head);
+            if (MergedHead.isMerged(head)) {
+                fail(CallFailure.MALFORMED);
+                return;
+            }
+            ResponseMatch match = listener.match(head);
+            if (match == ResponseMatch.UNIDENTIFIED && (requests > 1 || outOfStep)) {
+                fail(CallFailure.UNIDENTIFIED);
+                return;
+            }
+            outOfStep |= match == ResponseMatch.OTHER;
+            accepted = match != ResponseMatch.OTHER;
             if (accepted) {
-                readHead(head);
+                readHead(head, match);
             } else {
                 countOther();
             }
@@ -134,8 +174,11 @@
         }
     }
 
-    private void readHead(HttpResponse head) {
-        reusable = HttpUtil.isKeepAlive(head)
+    private void readHead(HttpResponse head, ResponseMatch match) {
+        reusable = match == ResponseMatch.OWN
+                && !outOfStep
+                && requestIdHashes.size() < MAX_REQUESTS
+                && HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         idleTimeout = KeepAlive.timeout(head.headers().get(KeepAlive.HEADER))
                 .map(limit -> limit.minus(IDLE_TIMEOUT_MARGIN))
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -5,21 +5,29 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -46,13 +54,26 @@
     }
 
     private String send(MisbehavingServer server, String id) throws Exception {
+        return start(server, id).result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Recorder start(MisbehavingServer server, String id) {
         Recorder recorder = new Recorder(id);
         loop.execute(() -> client.send(
                 server.address(),
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + id),
                 MAX_IDLE,
                 recorder));
-        return recorder.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return recorder;
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting", e);
+        }
     }
 
     @Nested
@@ -71,6 +92,53 @@
             }
         }
 
+        /** Guards against a kept connection to a server whose responses are out of step with the requests. */
+        @Test
+        void endsTheConnectionAfterTheAwaitedResponse() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                int number = served.incrementAndGet();
+                String copy = number == 2 ? response("r1", "one") : "";
+                out.write(MisbehavingServer.bytes(copy + response("r" + number, "own")));
+            })) {
+                send(server, "r1");
+                assertThat(send(server, "r2")).isEqualTo("own");
+                assertThat(server.connections()).isEqualTo(1);
+
+                assertThat(send(server, "r3")).isEqualTo("own");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against a copy that cannot be told from the response, because the same request was sent again. */
+        @Test
+        void isNotReadByTheSameRequestSentAgain() throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                String copy = request == 1 ? "" : response("first", "old");
+                out.write(MisbehavingServer.bytes(copy + response("first", "new")));
+            })) {
+                send(server, "first");
+
+                assertThat(send(server, "first")).isEqualTo("new");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against memory that grows with the number of requests on a connection, whose ids are remembered. */
+        @Test
+        void areToldApartForABoundedNumberOfRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) ->
+                    out.write(MisbehavingServer.bytes(response("r" + served.incrementAndGet(), "one"))))) {
+                for (int request = 1; request <= 100; request++) {
+                    assertThat(send(server, "r" + request)).isEqualTo("one");
+                }
+                assertThat(server.connections()).isEqualTo(1);
+                assertThat(send(server, "r101")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
         /** Guards against reuse of a connection on which bytes without a request have arrived. */
         @Test
         void endsTheConnectionIfItComesWithTheResponse() throws Exception {
@@ -81,6 +149,121 @@
                 assertThat(server.connections()).isEqualTo(2);
             }
         }
+
+        /** Guards against reuse of such a connection by a request with another id. */
+        @Test
+        void endsTheConnectionAlsoForOtherRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                String own = response("r" + served.incrementAndGet(), "one");
+                out.write(MisbehavingServer.bytes(own + own));
+            })) {
+                assertThat(send(server, "r1")).isEqualTo("one");
+                assertThat(send(server, "r2")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against reuse of a connection on which a copy has arrived while no request was open. */
+        @Test
+        void endsTheConnectionIfItComesBetweenTwoRequests() throws Exception {
+            AtomicInteger served = new AtomicInteger();
+            CountDownLatch copied = new CountDownLatch(1);
+            CountDownLatch delivered = new CountDownLatch(1);
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                byte[] own = MisbehavingServer.bytes(response("r" + served.incrementAndGet(), "one"));
+                out.write(own);
+                if (served.get() == 1) {
+                    out.flush();
+                    awaitQuietly(delivered);
+                    out.write(own);
+                    out.flush();
+                    copied.countDown();
+                }
+            })) {
+                assertThat(send(server, "r1")).isEqualTo("one");
+                delivered.countDown();
+                awaitQuietly(copied);
+                // Time for the event loop to read the copy.
+                Thread.sleep(100);
+                assertThat(send(server, "r2")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+    }
+
+    @Nested
+    class BytesBeforeTheFirstRequest {
+        /** Guards against a call without an end, because its new connection was closed before it was used. */
+        @Test
+        void failTheCall() throws Exception {
+            ClientConnection connection = new ClientConnection(client, new Address("127.0.0.1", 1));
+            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+            channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", UTF_8));
+            Recorder recorder = new Recorder("first");
+
+            connection.start(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/first"), recorder);
+
+            assertThat(recorder.result).isCompletedWithValue(CallFailure.NOT_CONNECTED.name());
+        }
+    }
+
+    @Nested
+    class TruncatedCopies {
+        /** Guards against a head that begins as the refusal of one request and ends as the response to another. */
+        @Test
+        void areNotMergedWithTheNextResponse() throws Exception {
+            String refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: first\r\nContent-Length: 2\r\n\r\nno";
+            for (int cut = 1; cut <= refusal.length(); cut++) {
+                String copy = refusal.substring(0, cut);
+                try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                    out.write(MisbehavingServer.bytes(
+                            request == 1 ? response("first", "one") : copy + response("second", "two")));
+                    if (request == 2) {
+                        out.flush();
+                        throw new IOException("closes the connection");
+                    }
+                })) {
+                    send(server, "first");
+                    Recorder second = start(server, "second");
+                    second.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+                    assertThat(second.heads)
+                            .as("after the copy %s", copy)
+                            .allMatch(head -> head.status().code() == 200)
+                            .noneMatch(head -> head.headers().contains("Not-Run"));
+                }
+            }
+        }
+    }
+
+    @Nested
+    class ResponsesWithoutAnId {
+        private static final String UNIDENTIFIED = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+
+        /** Guards against a response that is given to a request although it may belong to an earlier one. */
+        @Test
+        void failTheCallOnAReusedConnectionAndCloseIt() throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) ->
+                    out.write(MisbehavingServer.bytes(request == 1 ? response("first", "one") : UNIDENTIFIED)))) {
+                send(server, "first");
+
+                assertThat(send(server, "second")).isEqualTo(CallFailure.UNIDENTIFIED.name());
+                assertThat(send(server, "first")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
+        /** Guards against calls to a server without ids that fail because the connection was kept. */
+        @Test
+        void areDeliveredOnNewConnectionsOnly() throws Exception {
+            try (MisbehavingServer server =
+                    MisbehavingServer.start((request, out) -> out.write(MisbehavingServer.bytes(UNIDENTIFIED)))) {
+                assertThat(send(server, "first")).isEqualTo("one");
+                assertThat(send(server, "second")).isEqualTo("one");
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
     }
 
     @Nested
@@ -175,9 +358,10 @@
         }
     }
 
-    /** Records the body of the response, or the name of the failure. */
+    /** Records the heads and the body of the response, or the name of the failure. */
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
+        private final List<HttpResponse> heads = new CopyOnWriteArrayList<>();
         private final StringBuilder body = new StringBuilder();
         private final String id;
 
@@ -186,12 +370,23 @@
         }
 
         @Override
-        public boolean accepts(HttpResponse head) {
-            return id.equals(head.headers().get(ID_HEADER));
+        public String requestId() {
+            return id;
         }
 
         @Override
-        public void onHead(HttpResponse head) {}
+        public ResponseMatch match(HttpResponse head) {
+            String responseId = head.headers().get(ID_HEADER);
+            if (responseId == null) {
+                return ResponseMatch.UNIDENTIFIED;
+            }
+            return responseId.equals(id) ? ResponseMatch.OWN : ResponseMatch.OTHER;
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            heads.add(head);
+        }
 
         @Override
         public void onContent(ByteBuf content) {
