Read a resumed stream afresh after a faulty response

What callers saw: a response with a missing event or an id that is no number made the request fail, although another upstream could have resumed the stream. Whole events that had arrived together with the fault were not forwarded; if they were the first ones, the caller got 502 in place of a stream. The upstream that resumed the stream was counted as faulty.

Cause: the reader kept its two fault flags for the whole exchange, so that the first bytes of the next response failed as well. The attempt looked at the flags before it forwarded the events of the same read, which the reader had already counted as returned.

Change: the reader stops at the fault, the attempt forwards the events before it and then fails, and the flags are cleared before the stream is resumed.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
@@ -60,18 +60,24 @@
         return length > 0;
     }
 
-    /** Discards a partly received event, before another upstream resumes the stream. */
-    void discardPartial() {
+    /** Prepares for the response of another upstream, which resumes the stream after the last event. */
+    void resume() {
         length = 0;
+        gap = false;
+        invalid = false;
+        eventsWithoutId = 0;
     }
 
-    /** Adds received bytes and returns the events that they complete; empty if there are none. */
+    /**
+     * Adds received bytes and returns the events that they complete; empty if there are none. Nothing is returned from
+     * a gap or invalid bytes on.
+     */
     ByteBuf read(ByteBuf content) {
         append(content);
         int start = 0;
         int acceptedFrom = -1;
         ByteBuf accepted = Unpooled.EMPTY_BUFFER;
-        for (int i = 1; i < length; i++) {
+        for (int i = 1; i < length && !gap && !invalid; i++) {
             if (pending[i] != '\n' || pending[i - 1] != '\n' || i <= start) {
                 continue;
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -297,7 +297,7 @@
                         "failure_share",
                         Math.round(100 * upstream.failureShare()) / 100.0);
         if (mayRetry(verdict) && context.tryRetry(service)) {
-            events.discardPartial();
+            events.resume();
             context.enqueue(this, service);
         } else {
             fail(reason);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -122,27 +122,18 @@
         }
         long lastEventId = exchange.events().lastEventId();
         ByteBuf completeEvents = exchange.events().read(content);
-        if (exchange.events().hasGap()) {
-            call.cancel();
-            fail(Verdict.MAY_HAVE_RUN, "event-missing");
-            return;
-        }
-        if (exchange.events().invalid()) {
-            failMalformed();
-            return;
-        }
         if (exchange.events().lastEventId() > lastEventId) {
             recordProgress();
         }
-        if (!completeEvents.isReadable()) {
-            return;
+        if (completeEvents.isReadable()) {
+            forward(completeEvents);
         }
-        recordFirstByte();
-        upstream.recordAcceptance();
-        if (!exchange.responseStarted()) {
-            exchange.startResponse(head.status(), headers);
+        if (exchange.events().hasGap()) {
+            call.cancel();
+            fail(Verdict.MAY_HAVE_RUN, "event-missing");
+        } else if (exchange.events().invalid()) {
+            failMalformed();
         }
-        exchange.forwardChunk(completeEvents);
     }
 
     @Override
@@ -184,6 +175,15 @@
         return exchange.isStream() ? firstByteReceived : head != null;
     }
 
+    private void forward(ByteBuf completeEvents) {
+        recordFirstByte();
+        upstream.recordAcceptance();
+        if (!exchange.responseStarted()) {
+            exchange.startResponse(head.status(), headers);
+        }
+        exchange.forwardChunk(completeEvents);
+    }
+
     private void addToBody(ByteBuf content) {
         recordProgress();
         if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventReaderTest {
     private static String read(EventReader reader, String text) {
@@ -44,7 +46,7 @@
         void dropsEventsThatTheCallerHas() {
             EventReader reader = EventReader.after(0);
             read(reader, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-            reader.discardPartial();
+            reader.resume();
             assertThat(read(reader, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
             assertThat(reader.hasGap()).isFalse();
         }
@@ -56,6 +58,28 @@
             assertThat(read(reader, "id: 6\ndata: f\n\n")).isEmpty();
             assertThat(reader.hasGap()).isTrue();
         }
+
+        /** Guards against events that are lost because they came together with a gap or with invalid bytes. */
+        @ParameterizedTest
+        @ValueSource(strings = {"id: 4\ndata: d\n\n", "id: x\ndata: c\n\n"})
+        void keepsTheEventsBeforeAFault(String fault) {
+            EventReader reader = EventReader.after(1);
+            assertThat(read(reader, "id: 2\ndata: b\n\n" + fault + "id: 3\ndata: c\n\n"))
+                    .isEqualTo("id: 2\ndata: b\n\n");
+            assertThat(reader.lastEventId()).isEqualTo(2);
+        }
+
+        /** Guards against a response that fails because of a fault in the response before it. */
+        @ParameterizedTest
+        @ValueSource(strings = {"id: 4\ndata: d\n\n", "id: x\ndata: c\n\n"})
+        void isReadAfterAFaultInTheEarlierResponse(String fault) {
+            EventReader reader = EventReader.after(0);
+            read(reader, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" + fault);
+            reader.resume();
+            assertThat(read(reader, "id: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
+            assertThat(reader.hasGap()).isFalse();
+            assertThat(reader.invalid()).isFalse();
+        }
     }
 
     @Nested
