Do not complete a broken stream with a response without events

What callers saw: a stream broke off, the upstream that was to resume it answered with a signed 200 without a new event, and the stream ended with its last chunk, as if it were complete. The same happened when that upstream closed an unframed response behind its head.

Cause: the end of a response counted as the end of the stream as soon as the caller had any event, even if all of them came from the response that broke off.

Change: the end of a response completes a stream only if this response contained an event that the caller did not have. Otherwise the attempt has failed, and the stream is resumed elsewhere or ends without its last chunk. If only the end of the stream was lost, the caller sees a closed connection behind its last event; it cannot be told apart from a stream whose last events were lost.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -33,6 +33,7 @@
     private HttpHeaders headers;
     private final ByteBuf body = Unpooled.buffer(0);
     private boolean firstByteReceived;
+    private boolean eventReceived;
     private boolean closed;
     private long lastProgressNanos;
 
@@ -123,6 +124,7 @@
         long lastEventId = exchange.events().lastEventId();
         ByteBuf completeEvents = exchange.events().read(content);
         if (exchange.events().lastEventId() > lastEventId) {
+            eventReceived = true;
             recordProgress();
         }
         if (completeEvents.isReadable()) {
@@ -204,7 +206,8 @@
     }
 
     private void handleStreamEnd() {
-        if (exchange.events().hasPartial() || !exchange.responseStarted()) {
+        // A response without a new event does not show that the stream was complete where an earlier one broke off.
+        if (exchange.events().hasPartial() || !eventReceived) {
             upstream.recordFailure(context.time().nanoTime());
             fail(Verdict.MAY_HAVE_RUN, "stream-broken-off");
             return;
