Keep text that is no event out of streams

What callers saw: the text of an error with blank lines in it, also a whole response head with bare line feeds, was forwarded as events in the middle of a stream, and the stream ended as complete. It came behind the events of an unframed response, or as a signed 200 of the upstream that was to resume the stream.

Cause: the reader took any text before a blank line for an event without an id, and a resumed response of any media type was read as events.

Change: an event without an id may hold only comments and the fields data, event and retry; anything else makes the response malformed. Events with an id may have other fields, as before. A response resumes a stream only if it has the media type of the response that began it.

Evidence: before the change, three cases of BrokenStreamTest failed: the caller received "HTTP/1.1 500 Internal Server Error", "error: failed" and "<html>" between or behind its events, with a complete body. They pass now, and so do the new cases of EventReaderTest.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Splits a stream into events, which end with an empty line. An upstream may fail in the middle of an event, and
@@ -13,6 +14,10 @@
  */
 final class EventReader {
     private static final String ID_FIELD = "id:";
+
+    /** Fields of an event without an id; the empty name is that of a comment. */
+    private static final Set<String> OTHER_FIELDS = Set.of("", "data", "event", "retry");
+
     private static final int INITIAL_CAPACITY = 1024;
 
     /** Maximum size of an event; a longer one is taken for bytes without end. */
@@ -50,7 +55,7 @@
         return gap;
     }
 
-    /** Returns whether the bytes are no stream of events: an event without end, or an id that is no number. */
+    /** Returns whether the bytes are no stream of events: an event without end, an invalid id or an unknown field. */
     boolean invalid() {
         return invalid;
     }
@@ -126,9 +131,15 @@
                 return parseId(value);
             }
         }
+        invalid |= !event.lines().allMatch(EventReader::isFieldOfEventWithoutId);
         return OptionalLong.empty();
     }
 
+    private static boolean isFieldOfEventWithoutId(String line) {
+        int colon = line.indexOf(':');
+        return OTHER_FIELDS.contains(colon < 0 ? line : line.substring(0, colon));
+    }
+
     private OptionalLong parseId(String value) {
         if (value.isEmpty() || value.length() > MAX_ID_DIGITS || !value.chars().allMatch(Character::isDigit)) {
             invalid = true;
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -63,6 +63,7 @@
     private int possibleRuns;
     private boolean mayHaveRun;
     private boolean responseStarted;
+    private Optional<String> responseMediaType = Optional.empty();
     private boolean closed;
 
     private Exchange(
@@ -233,8 +234,14 @@
         return events;
     }
 
-    void startResponse(int status, HttpHeaders headers) {
+    /** Returns whether events of a response with the given media type may be forwarded. */
+    boolean accepts(Optional<String> mediaType) {
+        return !responseStarted || mediaType.equals(responseMediaType);
+    }
+
+    void startResponse(int status, HttpHeaders headers, Optional<String> mediaType) {
         responseStarted = true;
+        responseMediaType = mediaType;
         context.onFirstByte(this, attempt.age());
         writer.start(status, headers);
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
@@ -31,6 +32,7 @@
     private Call call;
     private ResponseHead head;
     private HttpHeaders headers;
+    private Optional<String> mediaType = Optional.empty();
     private final ByteBuf body = Unpooled.buffer(0);
     private boolean firstByteReceived;
     private boolean eventReceived;
@@ -111,6 +113,8 @@
         recordProgress();
         head = context.dialect().decode(response);
         headers = context.dialect().forwardedHeaders(response);
+        mediaType = Optional.ofNullable(HttpUtil.getMimeType(response))
+                .map(type -> type.toString().toLowerCase(Locale.ROOT));
         upstream.updateServedVersion(head.weightsVersion());
     }
 
@@ -148,7 +152,7 @@
             handleStreamEnd();
         } else if (head.notRun()) {
             handleRefusal();
-        } else if (head.success()) {
+        } else if (head.success() && !exchange.responseStarted()) {
             upstream.recordSuccess(context.time().nanoTime());
             close();
             exchange.forwardResponse(head, headers, body);
@@ -181,7 +185,7 @@
         recordFirstByte();
         upstream.recordAcceptance();
         if (!exchange.responseStarted()) {
-            exchange.startResponse(head.status(), headers);
+            exchange.startResponse(head.status(), headers, mediaType);
         }
         exchange.forwardChunk(completeEvents);
     }
@@ -202,7 +206,7 @@
     }
 
     private boolean streaming() {
-        return exchange.isStream() && head.success();
+        return exchange.isStream() && head.success() && exchange.accepts(mediaType);
     }
 
     private void handleStreamEnd() {
--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
@@ -105,6 +105,33 @@
             assertThat(reader.lastEventId()).isZero();
         }
 
+        /** Guards against the text of an error that is forwarded as an event because of its blank lines. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "failed\n\n",
+                    "<html>\n\n",
+                    "{\"error\": \"failed\"}\n\n",
+                    "error: failed\n\n",
+                    "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n",
+                    "data: a\nfailed: b\n\n"
+                })
+        void areInvalidWhenTheyAreOtherText(String text) {
+            EventReader reader = EventReader.after(1);
+            assertThat(read(reader, text + "id: 2\ndata: b\n\n")).isEmpty();
+            assertThat(reader.invalid()).isTrue();
+            assertThat(reader.lastEventId()).isEqualTo(1);
+        }
+
+        /** Guards against a stream that is cut because it has comments or events without an id. */
+        @Test
+        void doNotIncludeCommentsAndEventsWithoutAnId() {
+            String events = ": comment\n\nretry: 100\n\nevent: end\ndata: a\ndata\n\n";
+            EventReader reader = EventReader.after(1);
+            assertThat(read(reader, events)).isEqualTo(events);
+            assertThat(reader.invalid()).isFalse();
+        }
+
         /** Guards against an exception on an id that no long holds. */
         @Test
         void areInvalidWhenAnIdIsNoNumberOfEvents() {
