Fail a response without a length that a failed write shows to be reset

What callers saw: a response with neither a length nor chunks that was cut off by a reset was forwarded as complete, if the upstream had begun it before it had read the whole request.

Cause: while part of the request is still to be written, the reset is noticed by the write. The channel is then closed without an exception, and the decoder takes the close for the end of the response.

Change: the connection notes a write that failed, other than because the connection was closed, as a reset.

Evidence: the new case of PooledHttpClientTest failed before the change (the body "one" instead of RESET) and passed in three runs after it. The cases of a close, and of a reset after the request was written, passed before and after.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 
 /** One connection of the HTTP client. It carries one request at a time. */
@@ -59,7 +60,7 @@
         reusable = false;
         otherResponses = 0;
         skippedBytes = 0;
-        context.writeAndFlush(request);
+        context.writeAndFlush(request).addListener(write -> noteReset(write.cause()));
         return new ConnectionCall(newListener);
     }
 
@@ -114,6 +115,14 @@
         ctx.close();
     }
 
+    /**
+     * Notes a reset that a failed write reveals. The channel is then closed without an exception, and the decoder would
+     * take that for the end of a response without a length.
+     */
+    private void noteReset(Throwable writeFailure) {
+        wasReset |= writeFailure != null && !(writeFailure instanceof ClosedChannelException);
+    }
+
     private void read(HttpObject message) {
         if (message instanceof HttpResponse head) {
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/MisbehavingServer.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/MisbehavingServer.java
@@ -81,14 +81,29 @@
         try (connection) {
             InputStream in = connection.getInputStream();
             for (int request = 1; readHead(in); request++) {
-                script.respond(request, connection.getOutputStream());
-                connection.getOutputStream().flush();
+                if (!respond(request, connection)) {
+                    return;
+                }
             }
         } catch (IOException e) {
             closedByClient.countDown();
         }
     }
 
+    /** Runs the script and returns whether the connection stays open. */
+    private boolean respond(int request, Socket connection) throws IOException {
+        try {
+            script.respond(request, connection.getOutputStream());
+            connection.getOutputStream().flush();
+            return true;
+        } catch (Close e) {
+            return false;
+        } catch (Reset e) {
+            connection.setSoLinger(true, 0);
+            return false;
+        }
+    }
+
     private static boolean readHead(InputStream in) throws IOException {
         int newlines = 0;
         for (int next = in.read(); next >= 0; next = in.read()) {
@@ -115,6 +130,16 @@
         }
     }
 
+    /** Thrown by a script to close the connection. */
+    static final class Close extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** Thrown by a script to reset the connection. */
+    static final class Reset extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** Writes the bytes that follow a request. */
     @FunctionalInterface
     interface Script {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -4,15 +4,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -26,6 +29,9 @@
     private static final Duration MAX_IDLE = Duration.ofSeconds(5);
     private static final long TIMEOUT_SECONDS = 10;
 
+    /** Size of a request body that no socket buffer holds. */
+    private static final int LARGE_BODY_BYTES = 64 * 1024 * 1024;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final PooledHttpClient client = PooledHttpClient.of(loop, TimeSource.system());
@@ -41,12 +47,15 @@
 
     private String send(MisbehavingServer server, String id) throws Exception {
         Recorder recorder = new Recorder(id);
-        loop.execute(() -> client.send(
-                server.address(),
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/" + id),
-                MAX_IDLE,
-                recorder));
-        return recorder.result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        send(server, recorder, Unpooled.EMPTY_BUFFER);
+        return recorder.await();
+    }
+
+    private void send(MisbehavingServer server, Recorder recorder, ByteBuf body) {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + recorder.id, body);
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        loop.execute(() -> client.send(server.address(), request, MAX_IDLE, recorder));
     }
 
     @Nested
@@ -77,6 +86,52 @@
         }
     }
 
+    @Nested
+    class ResponsesWithoutALength {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n";
+
+        /** Guards against an unframed response that fails although it ended with its connection. */
+        @Test
+        void endWithTheConnection() throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                out.write(MisbehavingServer.bytes(HEAD + "one"));
+                throw new MisbehavingServer.Close();
+            })) {
+                assertThat(send(server, "a")).isEqualTo("one");
+            }
+        }
+
+        /** Guards against a response that was cut off by a reset and looks complete. */
+        @Test
+        void failWhenTheConnectionIsReset() throws Exception {
+            Recorder recorder = new Recorder("a");
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                out.write(MisbehavingServer.bytes(HEAD + "one"));
+                recorder.awaitContent();
+                throw new MisbehavingServer.Reset();
+            })) {
+                send(server, recorder, Unpooled.EMPTY_BUFFER);
+
+                assertThat(recorder.await()).isEqualTo(CallFailure.RESET.name());
+            }
+        }
+
+        /** Guards against a reset that is noticed while the request is written and makes the response look complete. */
+        @Test
+        void failWhenTheConnectionIsResetBeforeTheRequestIsWritten() throws Exception {
+            Recorder recorder = new Recorder("a");
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                out.write(MisbehavingServer.bytes(HEAD + "one"));
+                recorder.awaitContent();
+                throw new MisbehavingServer.Reset();
+            })) {
+                send(server, recorder, Unpooled.wrappedBuffer(new byte[LARGE_BODY_BYTES]));
+
+                assertThat(recorder.await()).isEqualTo(CallFailure.RESET.name());
+            }
+        }
+    }
+
     @Nested
     class EndlessBytes {
         /** Guards against a call that never ends, and against memory that grows with what a server sends. */
@@ -142,12 +197,26 @@
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
+        private final CountDownLatch content = new CountDownLatch(1);
         private final String id;
 
         private Recorder(String id) {
             this.id = id;
         }
 
+        private String await() throws Exception {
+            return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        /** Waits until part of the body was received; a reset discards what was sent but not read. */
+        private void awaitContent() {
+            try {
+                content.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         @Override
         public boolean accepts(HttpResponse head) {
             return id.equals(head.headers().get(ID_HEADER));
@@ -157,8 +226,9 @@
         public void onHead(HttpResponse head) {}
 
         @Override
-        public void onContent(ByteBuf content) {
-            body.append(content.toString(UTF_8));
+        public void onContent(ByteBuf part) {
+            body.append(part.toString(UTF_8));
+            content.countDown();
         }
 
         @Override
