End an attempt for a retry only if the retry budget permits one

What callers saw: a request whose upstream was slow was answered 502, and a stream whose upstream was silent was broken off, although the upstream would have gone on, once the retry budget was spent. In the same state an upstream's own 500 was replaced by a 502 of the entry.

Cause: a stalled attempt was ended, and a 5xx dropped, as soon as another upstream could take the request; the budget was asked only afterwards.

Change: the budget can be asked whether it permits a retry without taking one, and it is part of the decision whether a request can be retried elsewhere. Without a retry, the request keeps its upstream until the deadline.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -315,6 +315,7 @@
     boolean canRetryElsewhere() {
         return attempts < MAX_ATTEMPTS
                 && possibleRuns + 1 < route.maxUpstreams()
+                && context.retryAvailable(service)
                 && context.hasUntriedUpstream(service, triedUpstreams);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -43,6 +43,9 @@
     /** Removes a request from the queue of a service. */
     void dequeue(Exchange exchange, String service);
 
+    /** Returns whether the retry budget of a service permits a retry. */
+    boolean retryAvailable(String service);
+
     /** Takes a retry from the retry budget of a service; returns false if the budget is spent. */
     boolean tryRetry(String service);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -262,6 +262,11 @@
         queue(service).remove(exchange);
     }
 
+    @Override
+    public boolean retryAvailable(String service) {
+        return budget(service).isAvailable(time.nanoTime());
+    }
+
     @Override
     public boolean tryRetry(String service) {
         return budget(service).tryAcquire(time.nanoTime());
--- a/kernel/src/main/java/org/masticcroft/kernel/retry/RetryAllowance.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/RetryAllowance.java
@@ -30,14 +30,20 @@
         shareBudget.recordFirstAttempt(nowNanos);
     }
 
+    @Override
+    public synchronized boolean isAvailable(long nowNanos) {
+        return shareBudget.isAvailable(nowNanos) || allowanceLeft(nowNanos);
+    }
+
     @Override
     public synchronized boolean tryAcquire(long nowNanos) {
-        if (shareBudget.tryAcquire(nowNanos)) {
-            return true;
-        }
+        return shareBudget.tryAcquire(nowNanos) || (allowanceLeft(nowNanos) && retries.add(nowNanos));
+    }
+
+    private boolean allowanceLeft(long nowNanos) {
         while (!retries.isEmpty() && nowNanos - retries.peekFirst() > WINDOW_NANOS) {
             retries.removeFirst();
         }
-        return retries.size() < MAX_RETRIES_IN_WINDOW && retries.add(nowNanos);
+        return retries.size() < MAX_RETRIES_IN_WINDOW;
     }
 }
--- a/kernel/src/main/java/org/masticcroft/kernel/retry/RetryBudget.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/RetryBudget.java
@@ -5,6 +5,9 @@
     /** Records the first attempt of a request. */
     void recordFirstAttempt(long nowNanos);
 
+    /** Returns whether a retry could be taken from the budget. */
+    boolean isAvailable(long nowNanos);
+
     /** Takes one retry from the budget. Returns false if the budget is spent. */
     boolean tryAcquire(long nowNanos);
 }
--- a/kernel/src/main/java/org/masticcroft/kernel/retry/SlidingRetryBudget.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/retry/SlidingRetryBudget.java
@@ -56,9 +56,14 @@
     }
 
     @Override
-    public synchronized boolean tryAcquire(long nowNanos) {
+    public synchronized boolean isAvailable(long nowNanos) {
         advance(nowNanos);
-        if (retriesInWindow() + 1 > share * firstAttemptsInWindow()) {
+        return retriesInWindow() + 1 <= share * firstAttemptsInWindow();
+    }
+
+    @Override
+    public synchronized boolean tryAcquire(long nowNanos) {
+        if (!isAvailable(nowNanos)) {
             return false;
         }
         retries[index(currentSlice)]++;
--- a/kernel/src/test/java/org/masticcroft/kernel/retry/BudgetedRetryTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/retry/BudgetedRetryTest.java
@@ -51,6 +51,11 @@
                 // An unlimited budget needs no count.
             }
 
+            @Override
+            public boolean isAvailable(long nowNanos) {
+                return true;
+            }
+
             @Override
             public boolean tryAcquire(long nowNanos) {
                 return true;
--- a/kernel/src/test/java/org/masticcroft/kernel/retry/RetryAllowanceTest.java
+++ b/kernel/src/test/java/org/masticcroft/kernel/retry/RetryAllowanceTest.java
@@ -34,5 +34,19 @@
             assertThat(permittedRetries(100, 0)).isEqualTo(30);
             assertThat(permittedRetries(100, Duration.ofSeconds(11).toNanos())).isEqualTo(10);
         }
+
+        /** Guards against an answer that is given up for a retry that the budget does not permit. */
+        @Test
+        void areAvailableExactlyWhenOneIsPermitted() {
+            for (int i = 0; i < 50; i++) {
+                budget.recordFirstAttempt(0);
+            }
+            for (int i = 0; i < 30; i++) {
+                boolean available = budget.isAvailable(0);
+                assertThat(budget.tryAcquire(0)).isEqualTo(available);
+            }
+            assertThat(budget.isAvailable(0)).isFalse();
+            assertThat(budget.isAvailable(Duration.ofSeconds(11).toNanos())).isTrue();
+        }
     }
 }
