Let an upstream fall silent for a second

What callers saw: an upstream that fell silent for a second and went on lost its streams after 0.9 s if no load report of it arrived meanwhile: they were sent to another upstream at the expense of the retry budget, or broke off if that one failed. Each of them counted as a failure of the upstream, so that three of them opened its circuit breaker for a second, and those without an event yet as a crash that their request might have caused.

Cause: a busy upstream without any byte and without a load report was considered dead after 0.9 s. A sound one may fall silent for a second or so.

Change: it is considered dead after 1.5 s. A stream is already late when its upstream has been silent for that long, and its caller still waits: callers leave after a gap of at least two seconds.

The effect on loads with upstreams that stay silent was not measured.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/StallDetector.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/StallDetector.java
@@ -6,8 +6,8 @@
 
 /** Decides from the time without progress whether the response to a repeatable request has stalled. */
 final class StallDetector {
-    /** Time without any byte after which a busy upstream is considered dead; its events come every 50 to 200 ms. */
-    private static final Duration DEAD_UPSTREAM_TIMEOUT = Duration.ofMillis(900);
+    /** Time without any byte after which a busy upstream is considered dead; a sound one may pause for a second. */
+    private static final Duration DEAD_UPSTREAM_TIMEOUT = Duration.ofMillis(1500);
 
     /** Time without a next event after which a stream has stalled, even if its upstream serves others. */
     private static final Duration NEXT_EVENT_TIMEOUT = Duration.ofMillis(1600);
