Keep text that is no event out of the streams of the entry role

What callers saw: a stream broke off, the response that resumed it was an event stream that held the text or the whole head of an error, and the text was forwarded in the middle of the stream. The stream did not end as complete, because its end marker was missing.

Change: an event may hold only comments and the fields data, event, id and retry. Anything else rejects the response; the attempt is cancelled and the request retried, or the stream ends with an error event.

Evidence: of the three new cases of AnswerTest, the one with the head of an error failed before the change and passes now. A resumed request that is answered with JSON, or with a stream without events, passed before and after.

--- a/entry/src/main/java/org/masticcroft/entry/request/EventStream.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/EventStream.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /**
  * Splits the streamed answer of one attempt into server-sent events. It counts the forwarded tokens and holds back the
@@ -16,11 +17,15 @@
     private static final String DATA_PREFIX = "data:";
     private static final String END_MARKER = "[DONE]";
 
+    /** Fields of an event; the empty name is that of a comment. */
+    private static final Set<String> FIELDS = Set.of("", "data", "event", "id", "retry");
+
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream closingEvents = new ByteArrayOutputStream();
     private int closingTokens;
     private int tokenCount;
     private boolean endMarkerSeen;
+    private boolean invalid;
 
     private EventStream() {}
 
@@ -40,6 +45,11 @@
         return endMarkerSeen && partialEvent.size() == 0;
     }
 
+    /** Returns whether text other than events has arrived; nothing is returned for forwarding from there on. */
+    boolean isInvalid() {
+        return invalid;
+    }
+
     /** Accepts the next bytes and returns the events to forward now; may be empty. */
     byte[] accept(byte[] data) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -79,6 +89,10 @@
     }
 
     private void onEvent(byte[] event, ByteArrayOutputStream out) {
+        invalid |= !new String(event, StandardCharsets.UTF_8).lines().allMatch(EventStream::isField);
+        if (invalid) {
+            return;
+        }
         String data = dataOf(event);
         int count = 0;
         boolean closing = END_MARKER.equals(data);
@@ -98,6 +112,11 @@
         }
     }
 
+    private static boolean isField(String line) {
+        int colon = line.indexOf(':');
+        return FIELDS.contains(colon < 0 ? line : line.substring(0, colon));
+    }
+
     private static String dataOf(byte[] event) {
         StringBuilder data = new StringBuilder();
         new String(event, StandardCharsets.UTF_8)
--- a/entry/src/main/java/org/masticcroft/entry/request/RequestLifecycle.java
+++ b/entry/src/main/java/org/masticcroft/entry/request/RequestLifecycle.java
@@ -446,18 +446,25 @@
         Optional<String> violation = attempt.accept(
                 reply, validatedSpec.orElseThrow().stream(), components.time().nanoTime());
         if (violation.isPresent()) {
-            logRejectedReply(attempt, violation.get());
-            endAttempt(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_INCOMPLETE, orderClaim.isEmpty());
-            retryOrFail(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_INCOMPLETE, violation.get());
+            rejectReply(attempt, violation.get());
         } else if (reply.hasDispatchChunk() && attempt.isStreaming()) {
             forward(
                     attempt,
                     attempt.events().accept(reply.getDispatchChunk().getData().toByteArray()));
+            if (attempt.events().isInvalid() && currentAttempt.equals(Optional.of(attempt))) {
+                rejectReply(attempt, "the stream contains text that is no event");
+            }
         } else if (reply.hasDispatchEnd()) {
             onEnd(attempt, reply.getDispatchEnd());
         }
     }
 
+    private void rejectReply(Attempt attempt, String reason) {
+        logRejectedReply(attempt, reason);
+        endAttempt(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_INCOMPLETE, orderClaim.isEmpty());
+        retryOrFail(attempt, Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_INCOMPLETE, reason);
+    }
+
     private void onCallFailure(Attempt attempt, MasticcroftException failure) {
         if (currentAttempt.equals(Optional.of(attempt))) {
             Verdict verdict = attempt.hasReplied() ? Verdict.MAY_HAVE_RUN : failure.verdict();
--- a/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
+++ b/entry/src/test/java/org/masticcroft/entry/request/AnswerTest.java
@@ -144,6 +144,38 @@
             assertThat(caller.stream.toString().replaceAll("\\W", "")).matches(".*contenta.*contentb.*contentc.*DONE");
         }
 
+        /** Guards against an error that is sent in the middle of a stream or completes it. */
+        @Test
+        void areNotContinuedWithAnAnswerThatIsNoStream() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            entry.peers.last().head("text/event-stream").tokens("a").failConnection(Verdict.MAY_HAVE_RUN);
+            entry.peers.last().answer("{\"error\":\"failed\"}");
+            assertThat(caller.stream.toString()).contains("\"a\"").doesNotContain("failed");
+            assertThat(caller.streamEnded).isFalse();
+        }
+
+        /** Guards against the text of an error that is forwarded as an event because of its blank lines. */
+        @Test
+        void areNotContinuedWithTextThatIsNoEvent() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            entry.peers.last().head("text/event-stream").tokens("a").failConnection(Verdict.MAY_HAVE_RUN);
+            EntryFixture.FakeCall second = entry.peers.last();
+            second.head("text/event-stream").chunk("HTTP/1.1 500 Internal Server Error\r\n\r\nfailed\n\n");
+            assertThat(caller.stream.toString()).contains("\"a\"").doesNotContain("HTTP", "failed");
+            assertThat(second.sent).anyMatch(Envelope::hasCancel);
+            assertThat(caller.streamEnded).isFalse();
+        }
+
+        /** Guards against a stream that ends as complete although its last attempt ended before the end marker. */
+        @Test
+        void areNotCompletedByAStreamWithoutEvents() {
+            EntryFixture.FakeSink caller = entry.chat(true);
+            entry.peers.last().head("text/event-stream").tokens("a").failConnection(Verdict.MAY_HAVE_RUN);
+            EntryFixture.FakeCall second = entry.peers.last();
+            second.head("text/event-stream").end(second.success());
+            assertThat(caller.streamEnded).isFalse();
+        }
+
         /** Guards against an answer that mixes two sets of weights. */
         @Test
         void areNotResumedOnOtherWeights() {
