--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -72,6 +72,7 @@
     private boolean onTrial;
     private boolean responseStarted;
     private Duration timeToFirstByte = Duration.ZERO;
+    private Optional<String> responseMediaType = Optional.empty();
     private boolean closed;
 
     private Exchange(
@@ -283,9 +284,15 @@
         return events;
     }
 
-    void startResponse(int status, HttpHeaders headers) {
+    /** Returns whether events of a response with the given media type may be forwarded. */
+    boolean accepts(Optional<String> mediaType) {
+        return !responseStarted || mediaType.equals(responseMediaType);
+    }
+
+    void startResponse(int status, HttpHeaders headers, Optional<String> mediaType) {
         responseStarted = true;
         timeToFirstByte = attempt.age();
+        responseMediaType = mediaType;
         context.onFirstByte(this, timeToFirstByte);
         writer.start(status, headers);
     }
@@ -364,7 +371,7 @@
     private void retryOrFail(boolean retry, String reason) {
         mayHaveCrashedUpstream = false;
         if (retry && context.tryRetry(service)) {
-            events.discardPartial();
+            events.resume();
             context.enqueue(this, service);
         } else {
             fail(reason);
@@ -375,6 +382,7 @@
     boolean canRetryElsewhere() {
         return attempts < MAX_ATTEMPTS
                 && possibleRuns + 1 < route.maxUpstreams()
+                && context.retryAvailable(service)
                 && context.hasUntriedUpstream(service, triedUpstreams);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
@@ -33,9 +34,11 @@
     private Call call;
     private ResponseHead head;
     private HttpHeaders headers;
+    private Optional<String> mediaType = Optional.empty();
     private final ByteBuf body = Unpooled.buffer(0);
     private boolean contentReceived;
     private boolean firstByteReceived;
+    private boolean eventReceived;
     private boolean closed;
     private long lastProgressNanos;
 
@@ -139,6 +142,8 @@
         recordProgress();
         head = context.dialect().decode(response);
         headers = context.dialect().forwardedHeaders(response);
+        mediaType = Optional.ofNullable(HttpUtil.getMimeType(response))
+                .map(type -> type.toString().toLowerCase(Locale.ROOT));
         upstream.updateServedVersion(head.weightsVersion());
     }
 
@@ -152,30 +157,19 @@
         }
         long lastEventId = exchange.events().lastEventId();
         ByteBuf completeEvents = exchange.events().read(content);
-        if (exchange.events().hasGap()) {
-            call.cancel();
-            fail(Verdict.MAY_HAVE_RUN, "event-missing");
-            return;
-        }
-        if (exchange.events().invalid()) {
-            failMalformed();
-            return;
-        }
         if (exchange.events().lastEventId() > lastEventId) {
+            eventReceived = true;
             recordProgress();
         }
-        if (!completeEvents.isReadable()) {
-            return;
-        }
-        if (!firstByteReceived) {
-            context.onResponseBegun(exchange);
+        if (completeEvents.isReadable()) {
+            forward(completeEvents);
         }
-        recordFirstByte();
-        upstream.recordAcceptance();
-        if (!exchange.responseStarted()) {
-            exchange.startResponse(head.status(), headers);
+        if (exchange.events().hasGap()) {
+            call.cancel();
+            fail(Verdict.MAY_HAVE_RUN, "event-missing");
+        } else if (exchange.events().invalid()) {
+            failMalformed();
         }
-        exchange.forwardChunk(completeEvents);
     }
 
     @Override
@@ -188,7 +182,7 @@
             handleStreamEnd();
         } else if (head.notRun()) {
             handleRefusal();
-        } else if (head.success()) {
+        } else if (head.success() && !exchange.responseStarted()) {
             upstream.recordSuccess(context.time().nanoTime());
             context.onResponseBegun(exchange);
             close();
@@ -225,6 +219,18 @@
         return exchange.isStream() ? firstByteReceived : head != null;
     }
 
+    private void forward(ByteBuf completeEvents) {
+        if (!firstByteReceived) {
+            context.onResponseBegun(exchange);
+        }
+        recordFirstByte();
+        upstream.recordAcceptance();
+        if (!exchange.responseStarted()) {
+            exchange.startResponse(head.status(), headers, mediaType);
+        }
+        exchange.forwardChunk(completeEvents);
+    }
+
     private void addToBody(ByteBuf content) {
         recordProgress();
         if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
@@ -241,11 +247,12 @@
     }
 
     private boolean streaming() {
-        return exchange.isStream() && head.success();
+        return exchange.isStream() && head.success() && exchange.accepts(mediaType);
     }
 
     private void handleStreamEnd() {
-        if (exchange.events().hasPartial() || !exchange.responseStarted()) {
+        // A response without a new event does not show that the stream was complete where an earlier one broke off.
+        if (exchange.events().hasPartial() || !eventReceived) {
             upstream.recordFailure(context.time().nanoTime());
             if (!responseBegun()) {
                 // The end of the connection ends a response without a length, also when the upstream has crashed.
