Withdraw requests from a slow engine as early once its sidecar is silent

What callers saw: nothing yet; found in review. An engine that is eight times as slow notices a closed connection after a pass of hundreds of milliseconds. If its sidecar no longer reports, requests were withdrawn as late as from a fast engine, 0.34 s before the bound instead of 0.97 s, and could begin on old weights after it.

Cause: the pace of an upstream falls back to 1 once its last report is 1.5 s old. That suits the choice of an upstream, but not a limit that must hold.

Change: the time to begin and the time to withdraw use the last reported pace.

Result: UpstreamTest.isWithdrawnFromAsEarlyWhenItsReportsEnd failed before and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -118,6 +118,11 @@
         return reportIsFresh(nowNanos) ? report.pace() : 1;
     }
 
+    /** Returns the pace that the last load report stated, however old it is; 1 if there was none. */
+    public double lastReportedPace() {
+        return report == null ? 1 : report.pace();
+    }
+
     /** Returns the age of the last load report; empty if there was none. */
     public OptionalLong reportAgeMillis(long nowNanos) {
         return report == null ? OptionalLong.empty() : OptionalLong.of((nowNanos - reportNanos) / 1_000_000);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -136,7 +136,8 @@
      * other entries may have sent prompts that this one does not know of.
      */
     private static Duration untilBegin(int promptTokens, Upstream upstream, EngineProfile profile, long nowNanos) {
-        double modelMillis = upstream.pace(nowNanos) * timeToFirstByteMillis(promptTokens, upstream, profile, nowNanos);
+        double modelMillis =
+                upstream.lastReportedPace() * timeToFirstByteMillis(promptTokens, upstream, profile, nowNanos);
         Duration modelled = Duration.ofMillis((long) modelMillis);
         Duration observed = upstream.longestRecentWait(nowNanos);
         return (observed.compareTo(modelled) > 0 ? observed : modelled)
@@ -145,7 +146,7 @@
 
     /** Returns the time before a bound at which a request must be withdrawn so that its engine does not begin it. */
     public static Duration withdrawalLead(Upstream upstream, EngineProfile profile, long nowNanos) {
-        double passMillis = upstream.pace(nowNanos) * profile.passMillis(upstream.load(nowNanos));
+        double passMillis = upstream.lastReportedPace() * profile.passMillis(upstream.load(nowNanos));
         return WITHDRAWAL_TIME.plusMillis((long) (PASSES_UNTIL_WITHDRAWN * passMillis));
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.load.LoadReport;
@@ -36,6 +37,20 @@
         assertThat(upstream.reportedAlive(Duration.ofMillis(1100).toNanos())).isFalse();
     }
 
+    // Guards against requests that a slow engine begins after the bound on its weights, because they are withdrawn as
+    // late as from a fast one once its sidecar no longer reports.
+    @Test
+    void isWithdrawnFromAsEarlyWhenItsReportsEnd() {
+        EngineProfile profile = new EngineProfile("m", 5, 9, 0.04, 19);
+        upstream.applyReport(new LoadReport(1, 0, 0, false, OptionalLong.of(1), 8), 0);
+        Duration reported = UpstreamChooser.withdrawalLead(upstream, profile, 0);
+        long afterReports = Duration.ofSeconds(3).toNanos();
+        assertThat(upstream.pace(afterReports)).isEqualTo(1);
+        assertThat(UpstreamChooser.withdrawalLead(upstream, profile, afterReports))
+                .isEqualTo(reported)
+                .isGreaterThan(Duration.ofMillis(900));
+    }
+
     // Guards against sends to an engine that has become slow or has stalled, although nothing else shows it.
     @Test
     void statesTheLongestRecentWaitForAFirstByte() {
