Count news after a failed read from before the failure

What callers saw: nothing yet; found in review. A version whose record came after a read of the operator directory had failed counted as named when it was read, up to 900 ms late, which is more than what is left before the bound.

Change: the news of the first read after a failure is assumed to be older by the longest pause between reads, unless the store has confirmed since that there was none.

Result: FleetStateVersionsTest.isOlderAfterAFailedRead failed before (age zero) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -31,6 +31,9 @@
      */
     private static final Duration REMOVAL_DELAY = Duration.ofMillis(2200);
 
+    /** Time by which a failed read delays records of the operator: the longest pause before the read is repeated. */
+    private static final Duration FAILED_READ_DELAY = Duration.ofMillis(900);
+
     private final TimeSource time;
     private final UpstreamTable upstreams;
     private final NamedVersions namedVersions;
@@ -43,6 +46,7 @@
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
+    private boolean operatorReadFailed;
     private boolean deferringRemovals;
     private long deferUntilNanos;
 
@@ -124,6 +128,7 @@
     public void confirmed(Directory directory, long nanos) {
         if (directory == Directory.OPERATOR) {
             storeFreshness.confirmedAt(nanos);
+            operatorReadFailed = false;
         }
     }
 
@@ -132,6 +137,8 @@
         if (directory == Directory.UPSTREAMS) {
             deferringRemovals = true;
             deferUntilNanos = time.nanoTime() + REMOVAL_DELAY.toNanos();
+        } else {
+            operatorReadFailed = true;
         }
     }
 
@@ -183,8 +190,11 @@
     private Duration greatestAgeOfNews() {
         checkPauses();
         Duration sinceConfirmation = storeFreshness.age();
-        Duration sincePause = pauses.greatestAgeOfNews();
-        return sincePause.compareTo(sinceConfirmation) < 0 ? sincePause : sinceConfirmation;
+        Duration delay = pauses.greatestAgeOfNews();
+        if (operatorReadFailed && delay.compareTo(FAILED_READ_DELAY) < 0) {
+            delay = FAILED_READ_DELAY;
+        }
+        return delay.compareTo(sinceConfirmation) < 0 ? delay : sinceConfirmation;
     }
 
     private void recordNamedVersion(String model, long version) {
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
@@ -82,5 +82,16 @@
             time.advance(Duration.ofMillis(100));
             assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(100));
         }
+
+        // Guards against a bound that does not count the time until a failed read is repeated.
+        @Test
+        void isOlderAfterAFailedRead() {
+            for (int i = 0; i < 30; i++) {
+                time.advance(Duration.ofMillis(100));
+                fleet.checkPauses();
+            }
+            fleet.storeRecovered(Directory.OPERATOR);
+            assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(900));
+        }
     }
 }
