Forget a suspected part although reports on it go round

Reports on a part renewed the time of its last request, since each one adds its time in transit, so that a fleet with many processes would remember and report it without end. A reported time counts only if it is clearly newer, as for answers and trials. The test, 20 processes and 30 ms in transit, failed before. An entry also asks the sidecars for their evidence as soon as it knows them, and not up to a second later.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
@@ -116,7 +116,10 @@
      */
     public void recordCrash(Collection<Long> parts, long process, long nowNanos) {
         for (long part : parts) {
-            suspect(part, nowNanos).ifPresent(suspect -> suspect.addCrash(process, nowNanos));
+            find(part, nowNanos).ifPresent(suspect -> {
+                suspect.recordActivity(nowNanos);
+                suspect.addCrash(process, nowNanos);
+            });
         }
         update(nowNanos);
     }
@@ -175,6 +178,7 @@
 
     /** Returns what the other processes should know. */
     public List<PartReport> reports(long nowNanos) {
+        update(nowNanos);
         return suspects.values().stream()
                 .filter(Suspect::reportable)
                 .sorted(Comparator.<Suspect>comparingInt(suspect -> quarantined.contains(suspect.part) ? 0 : 1)
@@ -196,7 +200,7 @@
         boolean changed = false;
         for (PartReport report : reports.subList(0, Math.min(MAX_SUSPECTS, reports.size()))) {
             Optional<Suspect> suspect =
-                    suspect(report.part(), nowNanos - report.activity().toNanos());
+                    find(report.part(), nowNanos - report.activity().toNanos());
             if (suspect.isPresent()) {
                 changed |= suspect.get().merge(report, nowNanos);
             }
@@ -208,7 +212,7 @@
     }
 
     /** Returns the suspect of a part, a new one if there is none; empty if the table is full of stronger ones. */
-    private Optional<Suspect> suspect(long part, long activityNanos) {
+    private Optional<Suspect> find(long part, long activityNanos) {
         Suspect known = suspects.get(part);
         if (known == null) {
             if (suspects.size() >= MAX_SUSPECTS && !evictWeakest()) {
@@ -221,7 +225,6 @@
                 known.addAnswer(answerNanos);
             }
         }
-        known.recordActivity(activityNanos);
         return Optional.of(known);
     }
 
@@ -410,6 +413,11 @@
             OptionalLong reportedTrial = report.trial()
                     .map(age -> OptionalLong.of(nowNanos - age.toNanos()))
                     .orElse(OptionalLong.empty());
+            OptionalLong reportedActivity =
+                    OptionalLong.of(nowNanos - report.activity().toNanos());
+            if (isNewer(reportedActivity, OptionalLong.of(activityNanos))) {
+                recordActivity(reportedActivity.getAsLong());
+            }
             boolean newTrial = isNewer(reportedTrial, trialNanos);
             boolean senderLacksAnswer = !report.crashes().isEmpty() && isNewer(answerNanos, reportedAnswer);
             if (isNewer(reportedAnswer, answerNanos)) {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -117,6 +117,7 @@
     private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
     private Set<Long> loggedQuarantine = Set.of();
     private boolean evidencePending;
+    private boolean evidenceRequested;
     private final Random random;
     private boolean stopping;
     private boolean wasReady;
@@ -478,10 +479,17 @@
         });
     }
 
-    /** Detects a suspension of the machine, stalled upstreams and requests that wait for outdated weights. */
+    /**
+     * Detects a suspension of the machine, stalled upstreams and requests that wait for outdated weights. Asks the
+     * sidecars for their evidence on parts of prompts once they are known.
+     */
     private void checkLiveness() {
         fleet.checkPauses();
         checkSuspension();
+        if (!evidenceRequested && fleet.complete()) {
+            evidenceRequested = true;
+            datagrams.sendEvidence();
+        }
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
             exchange.checkWeightsVersion();
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
@@ -288,6 +288,23 @@
             assertThat(other.admit(List.of(DEADLY), seconds(5.2))).isFalse();
         }
 
+        // Guards against a part that the processes remember without end because their reports renew each other.
+        @Test
+        void doNotKeepAPartThatNoRequestHas() {
+            List<PromptPartSuspects> processes = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                processes.add(PromptPartSuspects.empty());
+            }
+            processes.get(0).recordCrash(List.of(20L), 1, 0);
+            Random random = new Random(1);
+            for (double now = 0; now < 130; now += 0.005) {
+                List<PartReport> reports = processes.get(random.nextInt(20)).reports(seconds(now));
+                processes.get(random.nextInt(20)).merge(reports, seconds(now + 0.03));
+            }
+            assertThat(processes)
+                    .allMatch(process -> process.reports(seconds(130)).isEmpty());
+        }
+
         // Guards against a different result when datagrams are lost, repeated or late.
         @Test
         void giveTheSameResultInAnyOrder() {
