Count crashes so that further ones never end a quarantine

Cause: crashes within 60 ms of the one before count once, to tell a loss of power from a crashing request. Seven engines crashed in 170 ms, each less than 60 ms after another, so that a further crash joined two counted ones into one and the quarantine ended again.

Change: the 60 ms count from the last counted crash, not from the last one.

Result: PromptPartSuspectsTest.isNotReleasedByFurtherCrashesBetweenTheFirstOnes failed before (nothing quarantined) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
@@ -358,7 +358,10 @@
             return crashCount(Set.of());
         }
 
-        /** Returns the number of crashes at distinct times, without those of the given processes. */
+        /**
+         * Returns the number of crashes at distinct times, without those of the given processes. The times are counted
+         * from the last counted one, so that further crashes never lower the number.
+         */
         private int crashCount(Set<Long> explained) {
             long[] times = crashes.entrySet().stream()
                     .filter(crash -> !explained.contains(crash.getKey()))
@@ -366,9 +369,11 @@
                     .sorted()
                     .toArray();
             int count = 0;
-            for (int i = 0; i < times.length; i++) {
-                if (i == 0 || times[i] - times[i - 1] > SIMULTANEOUS.toNanos()) {
+            long countedNanos = 0;
+            for (long crashNanos : times) {
+                if (count == 0 || crashNanos - countedNanos > SIMULTANEOUS.toNanos()) {
                     count++;
+                    countedNanos = crashNanos;
                 }
             }
             return count;
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/PromptPartSuspectsTest.java
@@ -43,6 +43,21 @@
             assertThat(refuses(1.5, SYSTEM, 99L, DEADLY)).isTrue();
         }
 
+        // Guards against a quarantine that ends because many upstreams crash in a short time.
+        @Test
+        void isNotReleasedByFurtherCrashesBetweenTheFirstOnes() {
+            suspects.recordAnswer(List.of(SYSTEM), 0);
+            crash(1, 1.00, SYSTEM, DEADLY);
+            crash(2, 1.08, SYSTEM, DEADLY);
+            assertThat(suspects.quarantined()).containsExactly(DEADLY);
+            crash(3, 1.04, SYSTEM, DEADLY);
+            assertThat(suspects.quarantined()).containsExactly(DEADLY);
+            for (int i = 4; i <= 8; i++) {
+                crash(i, 1.08 + 0.04 * (i - 3), SYSTEM, DEADLY);
+                assertThat(suspects.quarantined()).containsExactly(DEADLY);
+            }
+        }
+
         // Guards against the refusal of requests that share the other parts with the crashing ones.
         @Test
         void isTheOnlyOneThatIsRefused() {
