--- /dev/null
+++ b/review/standins/SilentRead.java
@@ -0,0 +1,84 @@
+package review;
+
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** The open connections to the store go silent; seconds later an engine leaves the list. */
+final class SilentRead implements Case.Scenario {
+    private static final long STABLE_MILLIS = 3000;
+    private static final long DRAIN_MILLIS = 2000;
+
+    /** Time from the silence to the engine's leaving, at which the entry counts as in touch again. */
+    private static final long LEAVE_AFTER_MILLIS = STABLE_MILLIS + 60;
+
+    /** Slack for the way of a request from the client over the entry to the engine. */
+    private static final long SLACK_MILLIS = 60;
+
+    private static final long REQUEST_INTERVAL_MILLIS = 10;
+
+    private final Set<String> late = ConcurrentHashMap.newKeySet();
+    private volatile long leftNanos;
+
+    @Override
+    public boolean run(Deployment deployment, CaseRecord record, boolean trouble) throws Exception {
+        StoreStandIn store = StoreStandIn.start(deployment.ip());
+        ServiceStandIn leaving = ServiceStandIn.start(deployment.ip(), "i-leaving", 5, record, request -> {
+            long bound = leftNanos + (DRAIN_MILLIS + SLACK_MILLIS) * 1_000_000;
+            if (leftNanos != 0 && System.nanoTime() > bound) {
+                late.add(request.header("Masticcroft-Attempt-Id"));
+                record.write("  later than drain-ms after the engine's leaving was acknowledged");
+            }
+        });
+        ServiceStandIn staying = ServiceStandIn.start(deployment.ip(), "i-staying", 5, record, request -> {});
+        store.put("keyed.op", "config", Configs.plain(1, true, ""));
+        store.put("keyed.servers", "i-leaving", leaving.listing("ledger", "z1"));
+        store.put("keyed.servers", "i-staying", staying.listing("ledger", "z2"));
+        String callers = deployment.ip() + ":" + Deployment.freePort(deployment.ip());
+        String readiness = deployment.ip() + ":" + Deployment.freePort(deployment.ip());
+        deployment.startEntry(store.address(), callers, readiness);
+        Client.awaitReady(readiness);
+        Thread.sleep(3000);
+        HttpStandIn.daemon(() -> sendOrders(callers, record));
+        int polls = store.upstreamPolls();
+        while (store.upstreamPolls() == polls) {
+            Thread.sleep(2);
+        }
+        long startNanos = System.nanoTime();
+        if (trouble) {
+            store.silenceOpenConnections();
+            record.write("open connections to the store go silent");
+        }
+        sleepUntil(startNanos + LEAVE_AFTER_MILLIS * 1_000_000);
+        store.put("keyed.servers", "i-leaving", null);
+        leftNanos = System.nanoTime();
+        record.write("store acknowledges that i-leaving is gone");
+        Thread.sleep(DRAIN_MILLIS + 2000);
+        record.write("requests that reached the engine too late: %d", late.size());
+        return !late.isEmpty();
+    }
+
+    private static void sendOrders(String callers, CaseRecord record) {
+        for (int i = 0; ; i++) {
+            String id = "order-" + i;
+            HttpStandIn.daemon(() -> {
+                try (Client client = new Client(callers)) {
+                    client.send(Client.request(
+                            "POST", Configs.HOST, "/order/1", id, "Masticcroft-Deadline-Ms: 1015\r\n", "connect"));
+                } catch (IOException e) {
+                    record.write("client gets no answer for %s: %s", id, e.getMessage());
+                }
+            });
+            try {
+                Thread.sleep(REQUEST_INTERVAL_MILLIS);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, nanos - System.nanoTime()));
+    }
+}
