Extend review case 2 by streams that end while an entry stops; add case 5

Case 2, seen by callers: a stream that began before SIGTERM ends on a connection that stays open. The entry takes the next request on it, later than 3 s after SIGTERM, and exits 6.8 s after SIGTERM in the middle of its stream.

Case 5, seen by servers: after an outage of the store, the removal of a server is deferred by 2.2 s although the store has acknowledged it while stable, so requests reach the server later than drain-ms.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 
-/** Runs one case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
+/** Runs the scenarios of a case and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
 public final class Case {
     private static final int RULE_HELD = 0;
     private static final int RULE_BROKEN = 1;
@@ -11,7 +11,7 @@
 
     private Case() {}
 
-    /** Takes the name of the case and its folder; the variable TROUBLE=0 leaves the disruption out. */
+    /** Takes the names of one or more scenarios and the folder of the case; TROUBLE=0 leaves the disruption out. */
     public static void main(String[] arguments) {
         int exit = CANNOT_RUN;
         try {
@@ -22,10 +22,19 @@
         System.exit(exit);
     }
 
-    private static int run(String name, Path recordFile, boolean trouble) throws IOException {
-        try (CaseRecord record = new CaseRecord(recordFile);
-                Deployment deployment = Deployment.create()) {
-            record.write("case %s, disruption %s", name, trouble ? "on" : "off");
+    private static int run(String names, Path recordFile, boolean trouble) throws IOException {
+        int exit = RULE_HELD;
+        try (CaseRecord record = new CaseRecord(recordFile)) {
+            for (String name : names.split(",")) {
+                record.write("case %s, disruption %s", name, trouble ? "on" : "off");
+                exit = Math.max(exit, run(name, record, trouble));
+            }
+        }
+        return exit;
+    }
+
+    private static int run(String name, CaseRecord record, boolean trouble) throws IOException {
+        try (Deployment deployment = Deployment.create()) {
             try {
                 boolean broken = scenario(name).run(deployment, record, trouble);
                 record.write("%s", broken ? "RULE BROKEN" : "rule held");
@@ -44,8 +53,9 @@
             case "withdrawn-keys" -> new WithdrawnKeys();
             case "stop-during-upload" -> new StopDuringUpload();
             case "frozen-sidecar" -> new FrozenSidecar();
+            case "stop-during-stream" -> new StopDuringStream();
             case "crashing-order" -> new CrashingOrder();
-            case "silent-read" -> new SilentRead();
+            case "store-outage" -> new StoreOutage();
             default -> throw new IllegalArgumentException("unknown case " + name);
         };
     }
--- a/review/standins/EngineStandIn.java
+++ b/review/standins/EngineStandIn.java
@@ -11,6 +11,7 @@
 final class EngineStandIn {
     private static final long LOAD_MILLIS = 300;
     private static final String ID = "i-model";
+    private static final int TOKENS_PER_EVENT = 5;
 
     private final CaseRecord record;
     private final long born = System.currentTimeMillis();
@@ -18,6 +19,7 @@
     private final Map<Integer, Long> spoiltNanos = new HashMap<>();
     private volatile IntConsumer onStagedRead = number -> {};
     private Runnable onLoaded = () -> {};
+    private volatile long eventGapMillis;
     private HttpStandIn server;
     private long version = 1;
     private long sequence;
@@ -56,6 +58,11 @@
         onLoaded = action;
     }
 
+    /** Sets the time before each event of a stream. */
+    void setEventGap(long millis) {
+        eventGapMillis = millis;
+    }
+
     synchronized long version() {
         return version;
     }
@@ -160,7 +167,8 @@
         onLoaded.run();
     }
 
-    private void stream(HttpStandIn.Request request, HttpStandIn.Answer answer) throws IOException {
+    private void stream(HttpStandIn.Request request, HttpStandIn.Answer answer)
+            throws IOException, InterruptedException {
         String attempt = request.header("Masticcroft-Attempt-Id");
         String expected = request.header("Masticcroft-Expect-Version");
         long served;
@@ -176,15 +184,19 @@
             }
         }
         record.write("engine makes tokens of %s with version %d", attempt, served);
-        StringBuilder events = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                + "Transfer-Encoding: chunked\r\nMasticcroft-Attempt-Id: " + attempt
-                + "\r\nMasticcroft-Response-Signature: " + ID + "." + attempt + "\r\nMasticcroft-Weight-Versions: "
-                + served + "\r\n\r\n");
-        for (int id = 1; id <= 3; id++) {
+        answer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                        + "Masticcroft-Attempt-Id: " + attempt + "\r\nMasticcroft-Response-Signature: " + ID + "."
+                        + attempt + "\r\nMasticcroft-Weight-Versions: " + served + "\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        int events = Integer.parseInt(request.header("Masticcroft-Token-Usage").split(",")[1]) / TOKENS_PER_EVENT;
+        for (int id = 1; id <= events; id++) {
+            Thread.sleep(eventGapMillis);
             String event = "id: " + id + "\ndata: token " + id + "\n\n";
-            events.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
+            answer.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
         }
-        answer.write(events.append("0\r\n\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+        answer.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        record.write("engine has sent all %d events of %s", events, attempt);
     }
 
     private static long number(String json, String field) {
--- a/review/standins/SilentRead.java
+++ b/review/standins/StoreOutage.java
@@ -1,20 +1,24 @@
 package review;
 
 import java.io.IOException;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
-/** The open connections to the store go silent; seconds later an engine leaves the list. */
-final class SilentRead implements Case.Scenario {
+/** The store is down for a few seconds; once it counts as stable again, an engine leaves the list. */
+final class StoreOutage implements Case.Scenario {
     private static final long STABLE_MILLIS = 3000;
     private static final long DRAIN_MILLIS = 2000;
 
-    /** Time from the silence to the engine's leaving, at which the entry counts as in touch again. */
-    private static final long LEAVE_AFTER_MILLIS = STABLE_MILLIS + 60;
+    private static final long OUTAGE_MILLIS = 3250;
+
+    /** Time from the end of the outage to the engine's leaving, at which the store is stable again. */
+    private static final long LEAVE_AFTER_MILLIS = STABLE_MILLIS + 100;
 
     /** Slack for the way of a request from the client over the entry to the engine. */
-    private static final long SLACK_MILLIS = 60;
+    private static final long SLACK_MILLIS = 50;
 
     private static final long REQUEST_INTERVAL_MILLIS = 10;
 
@@ -40,27 +44,32 @@
         deployment.startEntry(store.address(), callers, readiness);
         Client.awaitReady(readiness);
         Thread.sleep(3000);
-        HttpStandIn.daemon(() -> sendOrders(callers, record));
-        int polls = store.upstreamPolls();
-        while (store.upstreamPolls() == polls) {
-            Thread.sleep(2);
+        AtomicBoolean ended = new AtomicBoolean();
+        HttpStandIn.daemon(() -> sendOrders(callers, ended, record));
+        Thread.sleep(new Random().nextInt(2000));
+        if (trouble) {
+            store.goDown();
+            record.write("the store is down; it answers nothing");
         }
-        long startNanos = System.nanoTime();
+        Thread.sleep(OUTAGE_MILLIS);
+        long endNanos = System.nanoTime();
         if (trouble) {
-            store.silenceOpenConnections();
-            record.write("open connections to the store go silent");
+            store.comeBack();
+            record.write("the store is back");
         }
-        sleepUntil(startNanos + LEAVE_AFTER_MILLIS * 1_000_000);
+        sleepUntil(endNanos + LEAVE_AFTER_MILLIS * 1_000_000);
         store.put("keyed.servers", "i-leaving", null);
         leftNanos = System.nanoTime();
         record.write("store acknowledges that i-leaving is gone");
         Thread.sleep(DRAIN_MILLIS + 2000);
+        ended.set(true);
+        Thread.sleep(500);
         record.write("requests that reached the engine too late: %d", late.size());
         return !late.isEmpty();
     }
 
-    private static void sendOrders(String callers, CaseRecord record) {
-        for (int i = 0; ; i++) {
+    private static void sendOrders(String callers, AtomicBoolean ended, CaseRecord record) {
+        for (int i = 0; !ended.get(); i++) {
             String id = "order-" + i;
             HttpStandIn.daemon(() -> {
                 try (Client client = new Client(callers)) {
--- a/review/standins/StoreStandIn.java
+++ b/review/standins/StoreStandIn.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** The platform's metadata store: keyed topics with one partition, as PROTOCOL.md states them. */
 final class StoreStandIn {
@@ -24,8 +23,7 @@
     private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
     private final Set<Socket> connections = new HashSet<>();
     private final Set<Socket> silent = new HashSet<>();
-    private final AtomicInteger upstreamPolls = new AtomicInteger();
-    private volatile long lastUpstreamPollNanos;
+    private boolean down;
     private HttpStandIn server;
 
     static StoreStandIn start(String ip) throws IOException {
@@ -43,18 +41,15 @@
         append(topic, key, value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Makes all open connections go silent for good, without a reset; new ones work. */
-    synchronized void silenceOpenConnections() {
+    /** Begins an outage: calls that are open, and all further ones, are never answered. */
+    synchronized void goDown() {
+        down = true;
         silent.addAll(connections);
     }
 
-    /** Returns the number of long polls of the list of engines so far. */
-    int upstreamPolls() {
-        return upstreamPolls.get();
-    }
-
-    long lastUpstreamPollNanos() {
-        return lastUpstreamPollNanos;
+    /** Ends the outage; connections that had a call during the outage stay silent. */
+    synchronized void comeBack() {
+        down = false;
     }
 
     private void append(String topic, String key, byte[] value) {
@@ -66,8 +61,11 @@
             throws IOException, InterruptedException {
         synchronized (this) {
             connections.add(answer.socket());
+            if (down) {
+                silent.add(answer.socket());
+            }
         }
-        String topic = request.query().getOrDefault("topic", "");
+        String topic = topic(request);
         switch (request.method() + " " + request.path()) {
             case "GET /-/log-newest" -> answer(answer, 200, "application/json", newest(topic, request));
             case "GET /-/log-read" -> answer(answer, 200, "application/octet-stream", read(topic, request));
@@ -76,6 +74,10 @@
         }
     }
 
+    private static String topic(HttpStandIn.Request request) {
+        return request.query().getOrDefault("topic", "");
+    }
+
     private void answer(HttpStandIn.Answer answer, int status, String type, byte[] body) throws IOException {
         synchronized (this) {
             if (silent.contains(answer.socket())) {
@@ -112,10 +114,6 @@
 
     private synchronized byte[] read(String topic, HttpStandIn.Request request)
             throws IOException, InterruptedException {
-        if (topic.equals("keyed.servers")) {
-            lastUpstreamPollNanos = System.nanoTime();
-            upstreamPolls.incrementAndGet();
-        }
         int from = (int) request.number("from", 0);
         long endNanos = System.nanoTime() + request.number("wait-ms", 0) * 1_000_000;
         List<KeyedRecord> log = topics.computeIfAbsent(topic, name -> new ArrayList<>());
