--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -52,8 +52,8 @@
         return switch (name) {
             case "withdrawn-keys" -> new WithdrawnKeys();
             case "stop-during-upload" -> new StopDuringUpload();
-            case "frozen-sidecar" -> new FrozenSidecar();
             case "stop-during-stream" -> new StopDuringStream();
+            case "late-news" -> new LateNews();
             case "crashing-order" -> new CrashingOrder();
             case "store-outage" -> new StoreOutage();
             default -> throw new IllegalArgumentException("unknown case " + name);
--- a/review/standins/CrashingOrder.java
+++ b/review/standins/CrashingOrder.java
@@ -38,7 +38,7 @@
                 "keyed.op",
                 "config",
                 Configs.model(1, origin.address(), OriginStandIn.CHUNKS, OriginStandIn.CHUNK_BYTES));
-        store.put("keyed.servers", EngineStandIn.id(), model.listing());
+        store.put("keyed.servers", model.id(), model.listing());
         for (int i = 0; i < ENGINES; i++) {
             startEngine(deployment.ip(), 0, store, record, trouble);
         }
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -63,9 +63,10 @@
         return callers;
     }
 
-    /** Starts the sidecar of an engine. */
+    /** Starts the sidecar of an engine, on the machine of the engine. */
     Process startSidecar(String store, String engine, String service) throws IOException {
-        return start("sidecar", sidecarIp, store, Map.of("app", engine, "service", service));
+        String machineIp = engine.substring(0, engine.indexOf(':'));
+        return start("sidecar", machineIp, store, Map.of("app", engine, "service", service));
     }
 
     private Process start(String role, String machineIp, String store, Map<String, String> fields)
@@ -157,7 +158,7 @@
     }
 
     /** Returns a loopback address at which the fixed port of the metrics is free. */
-    private static String freeIp() {
+    static String freeIp() {
         Random random = new Random();
         while (true) {
             String ip = "127." + (1 + random.nextInt(250)) + "." + random.nextInt(250) + "." + (1 + random.nextInt(250));
--- a/review/standins/EngineStandIn.java
+++ b/review/standins/EngineStandIn.java
@@ -2,32 +2,31 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntConsumer;
+import java.util.function.LongConsumer;
 
 /** A model engine: staging area, report, order to load, and streams of tokens. Starts with version 1 loaded and staged. */
 final class EngineStandIn {
     private static final long LOAD_MILLIS = 300;
-    private static final String ID = "i-model";
+    private static final String DEFAULT_ID = "i-model";
     private static final int TOKENS_PER_EVENT = 5;
 
+    private final String id;
     private final CaseRecord record;
     private final long born = System.currentTimeMillis();
     private final Map<Integer, byte[]> staged = new HashMap<>();
-    private final Map<Integer, Long> spoiltNanos = new HashMap<>();
-    private volatile IntConsumer onStagedRead = number -> {};
     private Runnable onLoaded = () -> {};
+    private volatile LongConsumer onRun = version -> {};
     private volatile long eventGapMillis;
     private HttpStandIn server;
     private long version = 1;
     private long sequence;
     private boolean busy;
-    private String fault = "";
-    private String brokenRun = "";
+    private int active;
 
-    private EngineStandIn(CaseRecord record) {
+    private EngineStandIn(String id, CaseRecord record) {
+        this.id = id;
         this.record = record;
         for (int number = 0; number < OriginStandIn.CHUNKS; number++) {
             staged.put(number, OriginStandIn.piece(1, number));
@@ -35,7 +34,11 @@
     }
 
     static EngineStandIn start(String ip, CaseRecord record) throws IOException {
-        EngineStandIn engine = new EngineStandIn(record);
+        return start(ip, DEFAULT_ID, record);
+    }
+
+    static EngineStandIn start(String ip, String id, CaseRecord record) throws IOException {
+        EngineStandIn engine = new EngineStandIn(id, record);
         engine.server = HttpStandIn.start(ip, engine::handle);
         return engine;
     }
@@ -44,13 +47,8 @@
         return server.address();
     }
 
-    static String id() {
-        return ID;
-    }
-
-    /** Sets the action that runs before a staged piece is handed out. */
-    void onStagedRead(IntConsumer action) {
-        onStagedRead = action;
+    String id() {
+        return id;
     }
 
     /** Sets the action that runs when the engine has loaded weights. */
@@ -58,28 +56,16 @@
         onLoaded = action;
     }
 
+    /** Sets the action that gets the version with which each request begins. */
+    void onRun(LongConsumer action) {
+        onRun = action;
+    }
+
     /** Sets the time before each event of a stream. */
     void setEventGap(long millis) {
         eventGapMillis = millis;
     }
 
-    synchronized long version() {
-        return version;
-    }
-
-    /** Returns the first request that ran on spoilt weights and what was wrong with them; empty if none did. */
-    synchronized String brokenRun() {
-        return brokenRun;
-    }
-
-    /** Turns a staged piece bad. */
-    synchronized void spoil(int number) {
-        byte[] data = staged.get(number).clone();
-        data[data.length / 2] ^= 0x10;
-        staged.put(number, data);
-        spoiltNanos.put(number, System.nanoTime());
-    }
-
     synchronized String listing() {
         return "{\"service\":\"model\",\"address\":\"" + address() + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":16,"
                 + "\"state\":\"ready\",\"cold-remaining-ms\":0," + state() + "}";
@@ -99,13 +85,13 @@
             String report;
             synchronized (this) {
                 report = "{" + state() + ",\"busy\":" + busy
-                        + ",\"queued\":0,\"active\":0,\"kv-used\":0,\"kv-total\":1180000,\"handles\":0,\"pace\":1.0}";
+                        + ",\"queued\":0,\"active\":" + active
+                        + ",\"kv-used\":0,\"kv-total\":1180000,\"handles\":0,\"pace\":1.0}";
             }
             answer.json(200, report);
         } else if (path.startsWith("/-/stage-put/")) {
             synchronized (this) {
                 staged.put((int) request.number("num", 0), request.body());
-                spoiltNanos.remove((int) request.number("num", 0));
             }
             answer.json(200, "{}");
         } else if (path.startsWith("/-/stage-get/")) {
@@ -115,7 +101,6 @@
                 data = staged.get(number);
             }
             answer.respond(data == null ? 404 : 200, "", data == null ? new byte[0] : data);
-            onStagedRead.accept(number);
         } else if (path.equals("/-/order")) {
             answer.json(order(new String(request.body(), StandardCharsets.UTF_8)), "{}");
         } else {
@@ -130,31 +115,20 @@
         }
         sequence++;
         busy = true;
-        version = 0;
-        fault = faultOfStaged(ordered);
-        record.write(
-                "engine accepts the order to load version %d; %s",
-                ordered, fault.isEmpty() ? "all pieces are sound" : fault);
+        record.write("engine %s accepts the order to load version %d", id, ordered);
         HttpStandIn.daemon(() -> finishLoad(ordered));
         return 202;
     }
 
-    /** Describes a piece that is spoilt for more than 3 s, or of another version, or missing; empty if there is none. */
-    private String faultOfStaged(long ordered) {
-        for (int number = 0; number < OriginStandIn.CHUNKS; number++) {
-            Long spoilt = spoiltNanos.get(number);
-            double seconds = spoilt == null ? Double.MAX_VALUE : (System.nanoTime() - spoilt) / 1e9;
-            if (!Arrays.equals(staged.get(number), OriginStandIn.piece(ordered, number)) && seconds > 3) {
-                return spoilt == null
-                        ? "piece " + number + " is missing or of another version"
-                        : String.format("piece %d turned bad %.2f s before", number, seconds);
-            }
-        }
-        return "";
-    }
-
+    /** Loads after what is running has ended. */
     private void finishLoad(long loaded) {
         try {
+            synchronized (this) {
+                while (active > 0) {
+                    wait();
+                }
+                version = 0;
+            }
             Thread.sleep(LOAD_MILLIS);
         } catch (InterruptedException e) {
             return;
@@ -163,7 +137,7 @@
             version = loaded;
             busy = false;
         }
-        record.write("engine serves version %d", loaded);
+        record.write("engine %s serves version %d", id, loaded);
         onLoaded.run();
     }
 
@@ -174,29 +148,44 @@
         long served;
         synchronized (this) {
             served = version;
-            if (!request.header("Masticcroft-Expect-Instance").equals(ID)
+            if (!request.header("Masticcroft-Expect-Instance").equals(id)
                     || (!expected.isEmpty() && !expected.equals(Long.toString(served)))) {
                 answer.respond(421, "Masticcroft-Attempt-Id: " + attempt + "\r\n", new byte[0]);
                 return;
             }
-            if (!fault.isEmpty() && brokenRun.isEmpty()) {
-                brokenRun = attempt + " on version " + served + ", of which " + fault;
+            if (busy || served == 0) {
+                answer.respond(
+                        503, "Masticcroft-Attempt-Id: " + attempt + "\r\nMasticcroft-Not-Executed: 1\r\n", new byte[0]);
+                return;
             }
+            active++;
         }
-        record.write("engine makes tokens of %s with version %d", attempt, served);
+        record.write("engine %s makes tokens of %s with version %d", id, attempt, served);
+        onRun.accept(served);
+        try {
+            sendEvents(request, answer, attempt, served);
+        } finally {
+            synchronized (this) {
+                active--;
+                notifyAll();
+            }
+        }
+    }
+
+    private void sendEvents(HttpStandIn.Request request, HttpStandIn.Answer answer, String attempt, long served)
+            throws IOException, InterruptedException {
         answer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                        + "Masticcroft-Attempt-Id: " + attempt + "\r\nMasticcroft-Response-Signature: " + ID + "."
+                        + "Masticcroft-Attempt-Id: " + attempt + "\r\nMasticcroft-Response-Signature: " + id + "."
                         + attempt + "\r\nMasticcroft-Weight-Versions: " + served + "\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
         int events = Integer.parseInt(request.header("Masticcroft-Token-Usage").split(",")[1]) / TOKENS_PER_EVENT;
-        for (int id = 1; id <= events; id++) {
+        for (int number = 1; number <= events; number++) {
             Thread.sleep(eventGapMillis);
-            String event = "id: " + id + "\ndata: token " + id + "\n\n";
+            String event = "id: " + number + "\ndata: token " + number + "\n\n";
             answer.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
         }
         answer.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        record.write("engine has sent all %d events of %s", events, attempt);
     }
 
     private static long number(String json, String field) {
--- a/review/standins/ServiceStandIn.java
+++ b/review/standins/ServiceStandIn.java
@@ -29,6 +29,11 @@
         return server.address();
     }
 
+    /** Ends the engine; requests that run there get no answer. */
+    void exit() throws IOException {
+        server.crash();
+    }
+
     /** Returns the entry that the engine writes to the list of engines. */
     String listing(String service, String zone) {
         return "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\","
--- a/review/standins/StopDuringStream.java
+++ b/review/standins/StopDuringStream.java
@@ -37,7 +37,7 @@
                 "keyed.op",
                 "config",
                 Configs.model(1, origin.address(), OriginStandIn.CHUNKS, OriginStandIn.CHUNK_BYTES));
-        store.put("keyed.servers", EngineStandIn.id(), engine.listing());
+        store.put("keyed.servers", engine.id(), engine.listing());
         deployment.startSidecar(store.address(), engine.address(), "model");
         String callers = deployment.ip() + ":" + Deployment.freePort(deployment.ip());
         String readiness = deployment.ip() + ":" + Deployment.freePort(deployment.ip());
--- a/review/standins/StoreStandIn.java
+++ b/review/standins/StoreStandIn.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The platform's metadata store: keyed topics with one partition, as PROTOCOL.md states them. */
 final class StoreStandIn {
@@ -23,6 +24,7 @@
     private final Map<String, List<KeyedRecord>> topics = new HashMap<>();
     private final Set<Socket> connections = new HashSet<>();
     private final Set<Socket> silent = new HashSet<>();
+    private final AtomicInteger operatorPolls = new AtomicInteger();
     private boolean down;
     private HttpStandIn server;
 
@@ -41,6 +43,16 @@
         append(topic, key, value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Makes all open connections go silent for good, without a reset; new ones work. */
+    synchronized void silenceOpenConnections() {
+        silent.addAll(connections);
+    }
+
+    /** Returns the number of long polls of the operator's records so far. */
+    int operatorPolls() {
+        return operatorPolls.get();
+    }
+
     /** Begins an outage: calls that are open, and all further ones, are never answered. */
     synchronized void goDown() {
         down = true;
@@ -66,6 +78,9 @@
             }
         }
         String topic = topic(request);
+        if (request.path().equals("/-/log-read") && topic.equals("keyed.op")) {
+            operatorPolls.incrementAndGet();
+        }
         switch (request.method() + " " + request.path()) {
             case "GET /-/log-newest" -> answer(answer, 200, "application/json", newest(topic, request));
             case "GET /-/log-read" -> answer(answer, 200, "application/octet-stream", read(topic, request));
