Refuse requests that a stopping entry cannot finish

Cause: the stop checked once whether a request was open. It did not compare the time limit of a new request with the time left, and a request that was arriving did not count as open. At the end of the grace period, requests that waited in the entry were closed without an answer, too.

Change: from the moment at which the platform sends no new connections, a request is taken only if its time limit ends before open requests are ended. The process exits when all connections have ended. What is open at the limit gets 503 or 502. Idle connections are closed after the bytes written to them.

This works because every request that is taken late ends, by its own timer, before the process does, and no connection on which a request may arrive is left at the exit.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A route: which requests it matches, which services may run them, and how often they may run.
@@ -45,6 +46,11 @@
         services = List.copyOf(services);
     }
 
+    /** Returns the time after the arrival of a request at which it ends at the latest. */
+    public Duration timeLimit(Optional<Duration> callerDeadline) {
+        return callerDeadline.filter(stated -> stated.compareTo(timeout) < 0).orElse(timeout);
+    }
+
     /** Returns whether a request that may have run already may be sent again. */
     public boolean repeatable() {
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -88,9 +88,7 @@
         this.writer = writer;
         this.service = route.pickService(context.random().nextDouble());
         this.arrivalNanos = context.time().nanoTime();
-        Duration timeout = request.deadline()
-                .filter(stated -> stated.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
+        Duration timeout = route.timeLimit(request.deadline());
         this.deadlineNanos = arrivalNanos + timeout.toNanos();
         this.waitingSinceNanos =
                 arrivalNanos - context.priorWait(route, request).toNanos();
@@ -404,19 +402,29 @@
     }
 
     private void onDeadline() {
+        end(504, "deadline");
+    }
+
+    /** Ends the request because the process is about to exit; only a response that has started is cut off. */
+    public void endBeforeExit() {
+        end(502, "stopping");
+    }
+
+    /** Ends the request at once, with the given status if it may have run and its response has not started. */
+    private void end(int statusIfMayHaveRun, String reason) {
         if (closed) {
             return;
         }
         boolean sent = attempt != null && attempt.sent();
-        cancelAttempt(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "deadline");
+        cancelAttempt(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, reason);
         if (responseStarted) {
             close();
             writer.abort();
-            reportEnd(0, Verdict.MAY_HAVE_RUN, "deadline");
+            reportEnd(0, Verdict.MAY_HAVE_RUN, reason);
         } else if (sent || mayHaveRun) {
-            respond(504, Verdict.MAY_HAVE_RUN, "deadline", Optional.empty());
+            respond(statusIfMayHaveRun, Verdict.MAY_HAVE_RUN, reason, Optional.empty());
         } else {
-            respond(503, Verdict.NOT_RUN, "deadline", Optional.of(context.retryAfter()));
+            respond(503, Verdict.NOT_RUN, reason, Optional.of(context.retryAfter()));
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -89,14 +89,14 @@
         }
     }
 
-    /** Closes the connections without an open request. */
+    /** Closes the connections without an open request, once the responses written to them have been sent. */
     public void closeIdle() {
         new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
 
-    /** Returns the number of connections with an open request. */
-    public int openRequests() {
-        return (int) connections.stream().filter(ServerConnection::busy).count();
+    /** Returns whether the server has stopped listening and all its connections have ended. */
+    public boolean closed() {
+        return !serverChannel.isOpen() && connections.isEmpty();
     }
 
     boolean draining() {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -67,7 +67,7 @@
 
     void closeIfIdle() {
         if (!busy() && head == null && !headTimer.headBegun()) {
-            context.close();
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -86,9 +86,6 @@
     /** Time for which evidence is collected before it is sent. */
     private static final long EVIDENCE_DELAY_MILLIS = 5;
 
-    /** Time after the request to stop for which the platform still sends new connections. */
-    private static final Duration DEREGISTRATION_DELAY = Duration.ofMillis(2600);
-
     private final NodeSettings settings;
     private final TimeSource time;
     private final EventLoop loop;
@@ -106,6 +103,7 @@
     private final RequestFilter filter;
     private final UpstreamChooser chooser;
     private final HttpServer callerServer;
+    private final GracefulStop stop;
     private final HttpServer readinessServer;
     private final DirectoryFollower operatorFollower;
     private final DirectoryFollower upstreamsFollower;
@@ -119,7 +117,6 @@
     private boolean evidencePending;
     private boolean evidenceRequested;
     private final Random random;
-    private boolean stopping;
     private boolean wasReady;
 
     private EntryNode(NodeSettings settings, NodeDependencies dependencies) {
@@ -150,9 +147,10 @@
                 suspects,
                 promptParts,
                 this::onEvidence);
-        this.filter = new RequestFilter(this, fleet, configValidity, suspects, promptParts);
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
+        this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
+        this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts);
         this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
         FleetStore store = dependencies.store();
         this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
@@ -208,25 +206,16 @@
     @Override
     public void stop(Runnable finished) {
         loop.execute(() -> {
-            if (stopping) {
-                return;
+            if (!stop.begun()) {
+                log.write(Event.PROCESS_DRAINING, "open_requests", openExchanges.size());
+                stop.begin(this::endOpenRequests, finished);
             }
-            stopping = true;
-            log.write(Event.PROCESS_DRAINING, "open_requests", callerServer.openRequests());
-            callerServer.drain();
-            loop.schedule(() -> awaitOpenRequests(finished), DEREGISTRATION_DELAY.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
-    private void awaitOpenRequests(Runnable finished) {
-        callerServer.stopListening();
-        callerServer.closeIdle();
-        if (callerServer.openRequests() == 0) {
-            // The delay lets the last bytes of the responses leave the machine before the process ends.
-            loop.schedule(finished, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            loop.schedule(() -> awaitOpenRequests(finished), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        }
+    private void endOpenRequests() {
+        log.write(Event.PROCESS_DRAINING, "open_requests", openExchanges.size(), "effect", "ended");
+        List.copyOf(openExchanges).forEach(Exchange::endBeforeExit);
     }
 
     @Override
@@ -459,7 +448,7 @@
     }
 
     private void handleReadiness(HttpRequest head, byte[] body, ResponseWriter writer) {
-        boolean ready = !stopping && fleet.complete() && configValidity.validForReadiness();
+        boolean ready = !stop.begun() && fleet.complete() && configValidity.validForReadiness();
         if (ready != wasReady) {
             wasReady = ready;
             log.write(
@@ -467,7 +456,7 @@
                     "ready",
                     ready,
                     "stopping",
-                    stopping,
+                    stop.begun(),
                     "config_age_ms",
                     storeFreshness.age().toMillis());
         }
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
@@ -0,0 +1,101 @@
+package org.masticcroft.gateway.node;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.masticcroft.gateway.http.HttpServer;
+import org.masticcroft.kernel.time.TimeSource;
+
+/**
+ * Stops the caller side of an entry. Callers still get new connections at first, so all requests are taken. After that,
+ * a request is taken only if it ends before the process does. Used on the event loop only.
+ */
+final class GracefulStop {
+    /** Time after the request to stop for which the platform still sends new connections. */
+    private static final Duration DEREGISTRATION_DELAY = Duration.ofMillis(2600);
+
+    private static final long CHECK_INTERVAL_MILLIS = 100;
+
+    /** Time for which the last bytes of the responses leave the machine before the process ends. */
+    private static final long FLUSH_MILLIS = 100;
+
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final HttpServer callers;
+    private final Duration limit;
+    private boolean begun;
+    private boolean ended;
+    private long beginNanos;
+
+    /**
+     * Creates a stop that has not begun.
+     *
+     * @param loop event loop
+     * @param time clock
+     * @param callers server that the callers are connected to
+     * @param limit time from the begin of the stop until open requests are ended
+     */
+    GracefulStop(EventLoop loop, TimeSource time, HttpServer callers, Duration limit) {
+        this.loop = loop;
+        this.time = time;
+        this.callers = callers;
+        this.limit = limit;
+    }
+
+    boolean begun() {
+        return begun;
+    }
+
+    /**
+     * Returns whether a request that has just arrived is taken.
+     *
+     * @param timeLimit longest time until the request ends
+     */
+    boolean admits(Duration timeLimit) {
+        if (!begun) {
+            return true;
+        }
+        Duration sinceBegin = time.since(beginNanos);
+        return sinceBegin.compareTo(DEREGISTRATION_DELAY) < 0
+                || sinceBegin.plus(timeLimit).compareTo(limit) < 0;
+    }
+
+    /**
+     * Begins the stop.
+     *
+     * @param endOpenRequests called at the limit to end the requests that are still open
+     * @param finished called once no connection is left, or after the limit
+     */
+    void begin(Runnable endOpenRequests, Runnable finished) {
+        begun = true;
+        beginNanos = time.nanoTime();
+        callers.drain();
+        loop.schedule(() -> awaitConnections(finished), DEREGISTRATION_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(() -> reachLimit(endOpenRequests, finished), limit.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Waits for the connections and not only for open requests, because a request may be arriving. */
+    private void awaitConnections(Runnable finished) {
+        callers.stopListening();
+        callers.closeIdle();
+        if (callers.closed()) {
+            end(finished);
+        } else if (!ended) {
+            loop.schedule(() -> awaitConnections(finished), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void reachLimit(Runnable endOpenRequests, Runnable finished) {
+        if (!ended) {
+            endOpenRequests.run();
+            end(finished);
+        }
+    }
+
+    private void end(Runnable finished) {
+        if (!ended) {
+            ended = true;
+            loop.schedule(finished, FLUSH_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/Node.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/Node.java
@@ -8,7 +8,7 @@
     /**
      * Stops gracefully. A second call has no effect.
      *
-     * @param finished called when no request is open any more
+     * @param finished called when no request is open any more, in time for the process to exit in the grace period
      */
     void stop(Runnable finished);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -72,6 +72,18 @@
          */
         private static final Duration VERSION_MARGIN = Duration.ofMillis(900);
 
+        /** Time for which a process that stops stores its last account records and writes its log. */
+        private static final Duration EXIT_TIME = Duration.ofMillis(1300);
+
+        /** Fraction of the grace period at whose end open requests may be ended. */
+        private static final int GRACE_END_DIVISOR = 6;
+
+        /** Returns the time from the request to stop until the requests that are still open are ended. */
+        public Duration openRequestsEnd() {
+            Duration graceEnd = grace.dividedBy(GRACE_END_DIVISOR);
+            return grace.minus(graceEnd.compareTo(EXIT_TIME) < 0 ? graceEnd : EXIT_TIME);
+        }
+
         /**
          * Returns the time after the naming of a version for which entries send a request to an engine of an older one.
          *
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
@@ -16,7 +16,7 @@
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.ResponseWriter;
 
-/** Checks each request against the configuration, the quarantine, the routes and the keys before it is routed. */
+/** Checks each request against the quarantine, the routes, a planned stop and the keys before it is routed. */
 final class RequestFilter {
     /** Status of requests that may succeed if they are sent again. */
     private static final int RETRYABLE_STATUS = 503;
@@ -24,6 +24,7 @@
     private final ExchangeContext context;
     private final FleetState fleet;
     private final ConfigValidity configValidity;
+    private final GracefulStop stop;
     private final CrashSuspects suspects;
     private final PromptPartSuspects promptParts;
 
@@ -31,11 +32,13 @@
             ExchangeContext context,
             FleetState fleet,
             ConfigValidity configValidity,
+            GracefulStop stop,
             CrashSuspects suspects,
             PromptPartSuspects promptParts) {
         this.context = context;
         this.fleet = fleet;
         this.configValidity = configValidity;
+        this.stop = stop;
         this.suspects = suspects;
         this.promptParts = promptParts;
     }
@@ -63,6 +66,10 @@
             refuse(request, writer, confirmed ? 404 : RETRYABLE_STATUS, "no-route");
             return;
         }
+        if (!stop.admits(route.get().timeLimit(request.deadline()))) {
+            refuse(request, writer, RETRYABLE_STATUS, "stopping");
+            return;
+        }
         if (!config.requiresKeys() || route.get().anonymous()) {
             Exchange.start(context, request, route.get(), Optional.empty(), writer);
             return;
