Defer only removals of most of a service after an outage of the store

Cause: an entry noticed the end of the outage with the end of a long poll, up to 3 s late, and then deferred every removal by 2.2 s, also one that was planned and came long after the return of the store.

Change: after a failed read, the reads do not wait for a change and time out early, so the end of an outage is noticed within about 0.9 s. Removals of up to a third of a service take effect at once; larger ones wait 2 s for the listings that expired. Long polls of the list are shorter, so that a silent connection is noticed in time.

This works because the time of the deferral now ends before machines count as in touch again, and planned work is not deferred at all.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
@@ -12,17 +13,14 @@
 /** Reads all records of a directory and then follows its changes. Used on the event loop only. */
 public final class DirectoryFollower {
     /**
-     * Delay after a failed read, multiplied by the number of failures in a row; the store charges for refused calls,
-     * too.
+     * Delay after a failed read. The end of an outage must be noticed soon, since removals of upstreams that follow it
+     * are planned work; the store charges for refused calls, too.
      */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(300);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
     /** Delay after an unexpected failure; the store charges for the full read that follows. */
     private static final Duration FAILURE_DELAY = Duration.ofMillis(900);
 
-    /** Maximum delay after several failed reads, and so the longest time until a recovered store is noticed. */
-    private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(900);
-
     private final Directory directory;
     private final FleetStore store;
     private final EventLoop loop;
@@ -96,25 +94,28 @@
         long startNanos = time.nanoTime();
         try {
             if (nextOffset < 0) {
-                store.readAll(directory, reply -> handleReply(reply, startNanos, readGeneration, true));
+                store.readAll(directory, reply -> handleReply(reply, startNanos, readGeneration, Optional.empty()));
             } else {
+                // A read that waits for a change would notice the end of an outage only at the end of its wait.
+                Duration wait = failedReads > 0 ? Duration.ZERO : timing.maxWait();
                 store.readFrom(
                         directory,
                         nextOffset,
-                        timing.maxWait(),
-                        reply -> handleReply(reply, startNanos, readGeneration, false));
+                        wait,
+                        reply -> handleReply(reply, startNanos, readGeneration, Optional.of(wait)));
             }
         } catch (RuntimeException e) {
             readAllAfterFailure(e);
         }
     }
 
-    private void handleReply(DirectoryReply reply, long startNanos, int readGeneration, boolean fullRead) {
+    /** Handles the reply of a read; a read of the whole directory has no wait. */
+    private void handleReply(DirectoryReply reply, long startNanos, int readGeneration, Optional<Duration> wait) {
         if (readGeneration != generation) {
             return;
         }
         switch (reply.status()) {
-            case READ -> applyReply(reply, startNanos, fullRead);
+            case READ -> applyReply(reply, startNanos, wait);
             case EXPIRED -> {
                 log.write(Event.DIRECTORY_EXPIRED, "directory", directory, "from", nextOffset);
                 nextOffset = -1;
@@ -124,7 +125,7 @@
         }
     }
 
-    private void applyReply(DirectoryReply reply, long startNanos, boolean fullRead) {
+    private void applyReply(DirectoryReply reply, long startNanos, Optional<Duration> wait) {
         if (failedReads > 0) {
             log.write(Event.STORE_REGAINED, "directory", directory, "failed_reads", failedReads);
         }
@@ -132,12 +133,12 @@
         failedReads = 0;
         nextOffset = reply.nextOffset();
         // A read without records lasted for the whole wait, so no newer record existed at its end.
-        boolean unchanged = !fullRead && reply.changes().isEmpty();
+        boolean unchanged = wait.isPresent() && reply.changes().isEmpty();
         long elapsedNanos = time.nanoTime() - startNanos;
-        long maxWaitNanos = timing.maxWait().toNanos();
-        long confirmedNanos = startNanos + (unchanged ? Math.min(maxWaitNanos, elapsedNanos) : 0);
+        long waitNanos = wait.orElse(Duration.ZERO).toNanos();
+        long confirmedNanos = startNanos + (unchanged ? Math.min(waitNanos, elapsedNanos) : 0);
         try {
-            notifyListener(reply, fullRead, recovered, confirmedNanos);
+            notifyListener(reply, wait.isEmpty(), recovered, confirmedNanos);
         } catch (RuntimeException | StackOverflowError e) {
             // The changes may be applied in part, and a full read contains them all.
             readAllAfterFailure(e);
@@ -145,7 +146,7 @@
         }
         if (!unchanged) {
             readAfterDelay(timing.changeInterval().toMillis());
-        } else if (elapsedNanos < maxWaitNanos / 2) {
+        } else if (elapsedNanos < waitNanos / 2) {
             readAfterDelay(RETRY_DELAY.toMillis());
         } else {
             read();
@@ -176,8 +177,7 @@
         if (failedReads == 1) {
             log.write(Event.STORE_LOST, "directory", directory, "reason", reason);
         }
-        long delayMillis = Math.min(MAX_RETRY_DELAY.toMillis(), RETRY_DELAY.toMillis() * failedReads);
-        readAfterDelay(delayMillis);
+        readAfterDelay(RETRY_DELAY.toMillis());
     }
 
     private void readAfterDelay(long delayMillis) {
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
@@ -0,0 +1,84 @@
+package org.masticcroft.gateway.node;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.dispatch.UpstreamTable;
+
+/**
+ * Removals of upstreams after an outage of the store. Listings that expired during the outage return within seconds, so
+ * removals of a large part of a service are deferred for that time. A removal of few upstreams is planned work and
+ * takes effect at once, because the upstreams exit soon.
+ */
+final class DeferredRemovals {
+    /** Time after the end of an outage within which expired listings return. */
+    private static final Duration RETURN_TIME = Duration.ofMillis(2000);
+
+    /** Fraction of the upstreams of a service that planned work removes at a time at most, as a divisor. */
+    private static final int PLANNED_DIVISOR = 3;
+
+    private final UpstreamTable upstreams;
+    private final Set<String> pending = new LinkedHashSet<>();
+    private final Map<String, Integer> appliedByService = new HashMap<>();
+    private boolean active;
+    private long endNanos;
+
+    DeferredRemovals(UpstreamTable upstreams) {
+        this.upstreams = upstreams;
+    }
+
+    /** Begins to defer removals because the store answers again. */
+    void begin(long nowNanos) {
+        active = true;
+        endNanos = nowNanos + RETURN_TIME.toNanos();
+        appliedByService.clear();
+    }
+
+    /** Returns whether removals have to be added here. */
+    boolean active() {
+        return active;
+    }
+
+    void add(String id) {
+        pending.add(id);
+    }
+
+    /** Forgets the removal of an upstream that is listed again. */
+    void cancel(String id) {
+        pending.remove(id);
+    }
+
+    /** Applies the removals that are planned work, and all of them once the expired listings must have returned. */
+    void apply(long nowNanos) {
+        if (!active) {
+            return;
+        }
+        boolean ended = nowNanos - endNanos >= 0;
+        if (!pending.isEmpty()) {
+            Map<String, List<Upstream>> listedByService = upstreams.listed().stream()
+                    .collect(
+                            Collectors.groupingBy(upstream -> upstream.listing().service()));
+            listedByService.forEach((service, listed) -> applyIn(service, listed, ended, nowNanos));
+        }
+        if (ended) {
+            active = false;
+            pending.clear();
+        }
+    }
+
+    private void applyIn(String service, List<Upstream> listed, boolean ended, long nowNanos) {
+        List<String> removed =
+                listed.stream().map(Upstream::id).filter(pending::contains).toList();
+        int applied = appliedByService.getOrDefault(service, 0);
+        if (ended || (applied + removed.size()) * PLANNED_DIVISOR <= applied + listed.size()) {
+            removed.forEach(id -> upstreams.remove(id, nowNanos));
+            removed.forEach(pending::remove);
+            appliedByService.put(service, applied + removed.size());
+        }
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -61,10 +61,11 @@
 
     /**
      * Each entry reads each change of the list of upstreams, so changes that come close together share a read. The
-     * interval is short against the time for which a leaving upstream still serves.
+     * interval is short against the time for which a leaving upstream still serves, and so is the time until a read
+     * fails whose connection no longer works.
      */
     private static final DirectoryFollower.Timing UPSTREAMS_READS =
-            new DirectoryFollower.Timing(Duration.ofMillis(2000), Duration.ofMillis(400));
+            new DirectoryFollower.Timing(Duration.ofMillis(1300), Duration.ofMillis(400));
 
     /**
      * Fraction of the retry share set by the operators that an entry uses, because the share may be checked over other
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -2,11 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -25,12 +23,6 @@
 
 /** State of the fleet as an entry knows it: configuration, named versions of weights and listed upstreams. */
 final class FleetState implements DirectoryFollower.Listener {
-    /**
-     * Time after the store becomes reachable again for which removals of upstreams are deferred. Listings that expired
-     * during the outage return within about two seconds.
-     */
-    private static final Duration REMOVAL_DELAY = Duration.ofMillis(2200);
-
     /** Time by which a failed read delays records of the operator: the longest pause before the read is repeated. */
     private static final Duration FAILED_READ_DELAY = Duration.ofMillis(900);
 
@@ -42,13 +34,11 @@
     private final Consumer<String> newVersionListener;
     private final AccountRecorder account;
     private final ExecutionPauses pauses;
-    private final Set<String> deferredRemovals = new LinkedHashSet<>();
+    private final DeferredRemovals deferredRemovals;
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
     private boolean operatorReadFailed;
-    private boolean deferringRemovals;
-    private long deferUntilNanos;
 
     private FleetState(
             TimeSource time,
@@ -61,6 +51,7 @@
         this.time = time;
         this.pauses = ExecutionPauses.watch(time);
         this.upstreams = upstreams;
+        this.deferredRemovals = new DeferredRemovals(upstreams);
         this.namedVersions = namedVersions;
         this.storeFreshness = storeFreshness;
         this.log = log;
@@ -106,11 +97,12 @@
                     ids.add(listed.listing().id());
                 }
             });
-            if (deferringRemovals) {
+            if (deferredRemovals.active()) {
                 upstreams.listed().stream()
                         .map(upstream -> upstream.id())
                         .filter(id -> !ids.contains(id))
                         .forEach(deferredRemovals::add);
+                applyDeferredRemovals(time.nanoTime());
             } else {
                 upstreams.retainAll(ids, time.nanoTime());
             }
@@ -122,6 +114,7 @@
         for (FleetChange change : changes) {
             applyChange(directory, change);
         }
+        applyDeferredRemovals(time.nanoTime());
     }
 
     @Override
@@ -135,20 +128,15 @@
     @Override
     public void storeRecovered(Directory directory) {
         if (directory == Directory.UPSTREAMS) {
-            deferringRemovals = true;
-            deferUntilNanos = time.nanoTime() + REMOVAL_DELAY.toNanos();
+            deferredRemovals.begin(time.nanoTime());
         } else {
             operatorReadFailed = true;
         }
     }
 
-    /** Applies the deferred removals of upstreams once their delay has passed. */
+    /** Applies the deferred removals of upstreams that are due. */
     void applyDeferredRemovals(long nowNanos) {
-        if (deferringRemovals && nowNanos - deferUntilNanos >= 0) {
-            deferringRemovals = false;
-            List.copyOf(deferredRemovals).forEach(id -> upstreams.remove(id, nowNanos));
-            deferredRemovals.clear();
-        }
+        deferredRemovals.apply(nowNanos);
     }
 
     private void applyChange(Directory directory, FleetChange change) {
@@ -158,10 +146,10 @@
         } else if (change instanceof FleetChange.WeightsNamed named) {
             recordNamedVersion(named.model(), named.version());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
-            deferredRemovals.remove(listed.listing().id());
+            deferredRemovals.cancel(listed.listing().id());
             upstreams.put(listed.listing(), now);
         } else if (change instanceof FleetChange.UpstreamRemoved removed) {
-            if (deferringRemovals) {
+            if (deferredRemovals.active()) {
                 deferredRemovals.add(removed.id());
             } else {
                 upstreams.remove(removed.id(), now);
@@ -170,7 +158,7 @@
             log.write(Event.CONFIG_RECORD_IGNORED, "key", unreadable.key(), "reason", unreadable.reason());
             if (directory == Directory.UPSTREAMS) {
                 // The newest record of this id names no upstream. It is replaced when the upstream writes again.
-                deferredRemovals.remove(unreadable.key());
+                deferredRemovals.cancel(unreadable.key());
                 upstreams.remove(unreadable.key(), now);
             }
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -129,6 +129,54 @@
         }
     }
 
+    /** Pattern: the store is down for a few seconds, and upstreams leave soon after it is back. */
+    @Nested
+    class AnOutage {
+        /** Longest time from the return of the store until it is noticed; upstreams may leave 3 s after it. */
+        private static final Duration MAX_DETECTION_TIME = Duration.ofMillis(1000);
+
+        /** Guards against removals that are deferred because an outage counts as over seconds after its end. */
+        @Test
+        void endsWithTheFirstAnswerAndNotWithTheNextChange() throws InterruptedException {
+            CountDownLatch recovered = new CountDownLatch(1);
+            DirectoryFollower follower = DirectoryFollower.of(
+                    Directory.UPSTREAMS,
+                    new StoreAfterAnOutage(),
+                    loop,
+                    time,
+                    new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
+                    new IgnoringListener() {
+                        @Override
+                        public void storeRecovered(Directory directory) {
+                            recovered.countDown();
+                        }
+                    },
+                    log);
+            loop.execute(follower::start);
+
+            assertThat(recovered.await(MAX_DETECTION_TIME.toMillis(), TimeUnit.MILLISECONDS))
+                    .isTrue();
+        }
+
+        /** Store without changes whose first long poll fails; each later one lasts for its whole wait. */
+        private final class StoreAfterAnOutage extends ChangingStore {
+            private boolean failed;
+
+            @Override
+            public void readFrom(Directory directory, long from, Duration wait, Consumer<DirectoryReply> reply) {
+                if (!failed) {
+                    failed = true;
+                    reply.accept(DirectoryReply.unavailable("timeout"));
+                } else {
+                    loop.schedule(
+                            () -> reply.accept(DirectoryReply.read(List.of(), from)),
+                            wait.toMillis(),
+                            TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+    }
+
     /** Store that has a change for each read. */
     private static class ChangingStore implements FleetStore {
         private final AtomicInteger reads = new AtomicInteger();
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -111,5 +111,42 @@
 
             assertThat(ids()).containsExactly("a");
         }
+
+        /** Guards against requests to an upstream that was taken away after the outage, and exits soon. */
+        @Test
+        void ofFewUpstreamsTakesEffectAtOnce() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c")));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
+
+            assertThat(ids()).containsExactly("b", "c");
+        }
+
+        /** Guards against a service without upstreams because their listings expired during the outage. */
+        @Test
+        void ofMostUpstreamsWaitsForTheirReturn() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c")));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            fleet.changed(
+                    Directory.UPSTREAMS,
+                    List.of(new FleetChange.UpstreamRemoved("a"), new FleetChange.UpstreamRemoved("b")));
+            assertThat(ids()).containsExactly("a", "b", "c");
+
+            time.advance(Duration.ofMillis(2000));
+            fleet.applyDeferredRemovals(time.nanoTime());
+            assertThat(ids()).containsExactly("c");
+        }
+
+        /** Guards against removals that each are few, but together leave a service without upstreams. */
+        @Test
+        void countsWithTheEarlierOnesOfTheSameOutage() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c"), listed("d")));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            for (String id : List.of("a", "b", "c")) {
+                fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved(id)));
+            }
+
+            assertThat(ids()).containsExactly("b", "c", "d");
+        }
     }
 }
