Require API keys also when no customer has one

Cause: a configuration without any key was taken for one without customers, in which requests need no key.

This works because the check no longer depends on the number of keys.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
@@ -16,20 +16,32 @@
     private final Map<String, UpstreamService> services = new HashMap<>();
     private final Map<String, Customer> customersByKey = new HashMap<>();
     private final CallerLimits limits;
+    private final boolean requiresKeys;
 
-    private GatewayConfig(long version, CallerLimits limits) {
+    private GatewayConfig(long version, CallerLimits limits, boolean requiresKeys) {
         this.version = version;
         this.limits = limits;
+        this.requiresKeys = requiresKeys;
     }
 
-    /** Creates a configuration. */
+    /**
+     * Creates a configuration.
+     *
+     * @param version version number
+     * @param routes routes of all hosts
+     * @param services services that the routes lead to
+     * @param customers the customers; empty if the configuration knows none, so that requests need no API key. If the
+     *     customers have no keys, no request that needs one is accepted.
+     * @param limits what callers may send
+     */
     public static GatewayConfig of(
             long version,
             List<Route> routes,
             List<UpstreamService> services,
-            List<Customer> customers,
+            Optional<List<Customer>> customers,
             CallerLimits limits) {
-        GatewayConfig config = new GatewayConfig(version, Objects.requireNonNull(limits, "limits"));
+        GatewayConfig config =
+                new GatewayConfig(version, Objects.requireNonNull(limits, "limits"), customers.isPresent());
         for (Route route : routes) {
             config.routesByHost
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -40,7 +52,9 @@
                 .reversed();
         config.routesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> config.services.put(service.name(), service));
-        customers.forEach(customer -> customer.keys().forEach(key -> config.customersByKey.put(key, customer)));
+        customers
+                .orElse(List.of())
+                .forEach(customer -> customer.keys().forEach(key -> config.customersByKey.put(key, customer)));
         return config;
     }
 
@@ -55,7 +69,7 @@
 
     /** Returns whether requests need an API key on routes that are not anonymous. */
     public boolean requiresKeys() {
-        return !customersByKey.isEmpty();
+        return requiresKeys;
     }
 
     /** Returns the route of a host with the longest matching path prefix, if any. */
