Bound the memory for buffered responses of all requests together

Report of another operator: a faulty engine sent bytes without end until the caller closed; the machine kept them all and ran out of memory.

Seen here: an entry with its heap of 96 MB ended when 60 responses without a length had no end. Each response was bounded to 4 MB, but nothing bounded their sum.

Change: the buffered responses of a process share an eighth of its heap. Above that, the longest one is given up. The bytes in use are a metric.

This works because the sum of all buffers is bounded whatever the number of requests, and the responses without end are longer than sound ones.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -27,6 +27,9 @@
 
     PooledHttpClient httpClient();
 
+    /** Returns the memory for responses that are buffered. */
+    ResponseMemory responseMemory();
+
     DecisionLog log();
 
     /** Returns the version of the configuration in force, for the log. */
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package org.masticcroft.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -35,7 +34,7 @@
     private ResponseHead head;
     private HttpHeaders headers;
     private Optional<String> mediaType = Optional.empty();
-    private final ByteBuf body = Unpooled.buffer(0);
+    private final ResponseMemory.Buffer body;
     private boolean contentReceived;
     private boolean firstByteReceived;
     private boolean eventReceived;
@@ -49,6 +48,7 @@
         this.startNanos = context.time().nanoTime();
         this.weightsVersion = upstream.servedVersion();
         this.lastProgressNanos = startNanos;
+        this.body = context.responseMemory().newBuffer(this::failMalformed);
     }
 
     static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
@@ -185,8 +185,7 @@
         } else if (head.success() && !exchange.responseStarted()) {
             upstream.recordSuccess(context.time().nanoTime());
             context.onResponseBegun(exchange);
-            close();
-            exchange.forwardResponse(head, headers, body);
+            forwardBody();
         } else {
             handleErrorResponse();
         }
@@ -233,11 +232,11 @@
 
     private void addToBody(ByteBuf content) {
         recordProgress();
-        if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
+        if (body.length() + content.readableBytes() > MAX_BODY_BYTES) {
             failMalformed();
             return;
         }
-        body.writeBytes(content, content.readerIndex(), content.readableBytes());
+        body.add(content);
     }
 
     private void failMalformed() {
@@ -284,8 +283,13 @@
             fail(Verdict.MAY_HAVE_RUN, "upstream-status-" + head.status());
             return;
         }
+        forwardBody();
+    }
+
+    private void forwardBody() {
+        ByteBuf content = body.take();
         close();
-        exchange.forwardResponse(head, headers, body);
+        exchange.forwardResponse(head, headers, content);
     }
 
     /**
@@ -324,6 +328,7 @@
     private void close() {
         if (!closed) {
             closed = true;
+            body.close();
             if (!firstByteReceived) {
                 upstream.recordNoFirstByte(exchange.promptTokens(), startNanos);
             }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -30,6 +30,7 @@
 import org.masticcroft.gateway.exchange.ExchangeContext;
 import org.masticcroft.gateway.exchange.ExchangeOutcome;
 import org.masticcroft.gateway.exchange.InitialDeadlineEstimator;
+import org.masticcroft.gateway.exchange.ResponseMemory;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
 import org.masticcroft.gateway.fleet.FleetStore;
@@ -114,6 +115,7 @@
     private final Set<Exchange> openExchanges = new LinkedHashSet<>();
     private final CrashSuspects suspects = CrashSuspects.empty();
     private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
+    private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
     private Set<Long> loggedQuarantine = Set.of();
     private boolean evidencePending;
     private boolean evidenceRequested;
@@ -189,6 +191,7 @@
 
     private void exposeMetrics() {
         metrics.gauge(Series.of("masticcroft_requests_open"), openExchanges::size);
+        metrics.gauge(Series.of("masticcroft_response_bytes_buffered"), responseMemory::usedBytes);
         metrics.gauge(
                 Series.of("masticcroft_upstreams_listed"),
                 () -> upstreams.listed().size());
@@ -244,6 +247,11 @@
         return httpClient;
     }
 
+    @Override
+    public ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     @Override
     public DecisionLog log() {
         return log;
