Test responses whose head breaks off

Report of another operator: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -244,6 +244,37 @@
         }
     }
 
+    @Nested
+    class HeadsThatBreakOff {
+        /** Guards against a response whose head is incomplete and that looks complete, with a body cut to nothing. */
+        @ParameterizedTest(name = "{0}")
+        @CsvSource(
+                delimiter = '|',
+                value = {
+                    "with a length|Content-Length: 12\\r\\n",
+                    "in chunks|Transfer-Encoding: chunked\\r\\n",
+                    "without a length|''",
+                    "of a refusal|Not-Run: 1\\r\\nContent-Length: 0\\r\\n"
+                })
+        void failTheCall(String framing, String header) throws Exception {
+            String head = "HTTP/1.1 200 OK\r\nId: a\r\n" + EndlessBytes.unescape(header) + "\r\n";
+            for (int cut = 1; cut < head.length(); cut++) {
+                String part = head.substring(0, cut);
+                try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                    out.write(MisbehavingServer.bytes(part));
+                    throw new MisbehavingServer.Close();
+                })) {
+                    Recorder recorder = start(server, "a");
+
+                    assertThat(recorder.await())
+                            .as("after the head %s", part)
+                            .isIn(CallFailure.CLOSED_EARLY.name(), CallFailure.MALFORMED.name());
+                    assertThat(recorder.heads).isEmpty();
+                }
+            }
+        }
+    }
+
     @Nested
     class ResponsesWithoutAnId {
         private static final String UNIDENTIFIED = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
