--- a/ports/src/test/java/org/masticcroft/ports/engine/UpstreamClientTest.java
+++ b/ports/src/test/java/org/masticcroft/ports/engine/UpstreamClientTest.java
@@ -133,6 +133,17 @@
             assertFails(() -> engine().open(request("{}")).await(), Verdict.MAY_HAVE_RUN, ErrorCode.UPSTREAM_FAILED);
         }
 
+        /** Guards against a response whose head broke off and that is accepted as one with an empty body. */
+        @Test
+        void truncatedHeadFails() {
+            String head = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+            for (int cut = 1; cut < head.length(); cut++) {
+                response = head.substring(0, cut);
+                assertFails(
+                        () -> engine().open(request("{}")).await(), Verdict.MAY_HAVE_RUN, ErrorCode.UPSTREAM_FAILED);
+            }
+        }
+
         /** Guards against a truncated body that is accepted as complete. */
         @Test
         void truncatedBodyFails() {
