Count the time for which a read hung in the age of a version

Cause: a version that came with the first answer after a failed read counted as 0.9 s old at most, although the read had hung for 2.2 s before it failed.

Change: the follower states when the failed read was sent, and the version counts as that old.

This works because everything that was written before the failed read was sent has been read before. The test that asked for exactly 0.9 s is replaced by one that asks for the whole time.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -30,6 +30,7 @@
     private final DecisionLog log;
     private long nextOffset = -1;
     private int failedReads;
+    private long failedReadNanos;
     private int generation;
 
     private DirectoryFollower(
@@ -121,7 +122,7 @@
                 nextOffset = -1;
                 read();
             }
-            default -> handleFailure(reply.reason());
+            default -> handleFailure(reply.reason(), startNanos);
         }
     }
 
@@ -155,7 +156,7 @@
 
     private void notifyListener(DirectoryReply reply, boolean fullRead, boolean recovered, long confirmedNanos) {
         if (recovered) {
-            listener.storeRecovered(directory);
+            listener.storeRecovered(directory, failedReadNanos);
         }
         if (fullRead) {
             listener.snapshot(directory, reply.changes());
@@ -172,8 +173,9 @@
         readAfterDelay(FAILURE_DELAY.toMillis());
     }
 
-    private void handleFailure(String reason) {
+    private void handleFailure(String reason, long startNanos) {
         failedReads++;
+        failedReadNanos = startNanos;
         if (failedReads == 1) {
             log.write(Event.STORE_LOST, "directory", directory, "reason", reason);
         }
@@ -215,7 +217,13 @@
         /** Called when the store has confirmed that no newer record existed at a monotonic time in nanoseconds. */
         void confirmed(Directory directory, long nanos);
 
-        /** Called when the store answers again after a failure, before the records of its first answer are passed. */
-        default void storeRecovered(Directory directory) {}
+        /**
+         * Called when the store answers again after a failure, before the records of its first answer are passed.
+         *
+         * @param directory directory that was read
+         * @param failedReadNanos monotonic time at which the last read that failed was sent; records that were written
+         *     since then come only with this answer
+         */
+        default void storeRecovered(Directory directory, long failedReadNanos) {}
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -23,9 +23,6 @@
 
 /** State of the fleet as an entry knows it: configuration, named versions of weights and listed upstreams. */
 final class FleetState implements DirectoryFollower.Listener {
-    /** Time by which a failed read delays records of the operator: the longest pause before the read is repeated. */
-    private static final Duration FAILED_READ_DELAY = Duration.ofMillis(900);
-
     private final TimeSource time;
     private final UpstreamTable upstreams;
     private final NamedVersions namedVersions;
@@ -39,6 +36,7 @@
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
     private boolean operatorReadFailed;
+    private long failedOperatorReadNanos;
 
     private FleetState(
             TimeSource time,
@@ -126,11 +124,12 @@
     }
 
     @Override
-    public void storeRecovered(Directory directory) {
+    public void storeRecovered(Directory directory, long failedReadNanos) {
         if (directory == Directory.UPSTREAMS) {
             deferredRemovals.begin(time.nanoTime());
         } else {
             operatorReadFailed = true;
+            failedOperatorReadNanos = failedReadNanos;
         }
     }
 
@@ -179,8 +178,8 @@
         checkPauses();
         Duration sinceConfirmation = storeFreshness.age();
         Duration delay = pauses.greatestAgeOfNews();
-        if (operatorReadFailed && delay.compareTo(FAILED_READ_DELAY) < 0) {
-            delay = FAILED_READ_DELAY;
+        if (operatorReadFailed && delay.compareTo(time.since(failedOperatorReadNanos)) < 0) {
+            delay = time.since(failedOperatorReadNanos);
         }
         return delay.compareTo(sinceConfirmation) < 0 ? delay : sinceConfirmation;
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -147,7 +147,7 @@
                     new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
                     new IgnoringListener() {
                         @Override
-                        public void storeRecovered(Directory directory) {
+                        public void storeRecovered(Directory directory, long failedReadNanos) {
                             recovered.countDown();
                         }
                     },
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
@@ -83,15 +83,21 @@
             assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(100));
         }
 
-        // Guards against a bound that does not count the time until a failed read is repeated.
+        // Guards against a bound that does not count the time for which a read hung, and until it is repeated.
         @Test
-        void isOlderAfterAFailedRead() {
-            for (int i = 0; i < 30; i++) {
+        void isAsOldAsTheReadThatFailed() {
+            advanceInSteps(10);
+            long sentNanos = time.nanoTime();
+            advanceInSteps(27);
+            fleet.storeRecovered(Directory.OPERATOR, sentNanos);
+            assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(2700));
+        }
+
+        private void advanceInSteps(int steps) {
+            for (int i = 0; i < steps; i++) {
                 time.advance(Duration.ofMillis(100));
                 fleet.checkPauses();
             }
-            fleet.storeRecovered(Directory.OPERATOR);
-            assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(900));
         }
     }
 }
