--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -37,6 +37,7 @@
     private UpstreamListing listing;
     private boolean removed;
     private long removedNanos;
+    private boolean saysLeaving;
     private int inFlight;
     private double pendingPromptTokens;
     private OptionalLong servedVersion;
@@ -150,7 +151,7 @@
 
     /** Returns whether the upstream may get requests, now or after the pause that follows a refusal. */
     public boolean usable(long nowNanos) {
-        return !removed && !listing.leaving() && breaker.isCallPermitted(nowNanos);
+        return !removed && !saysLeaving && !listing.leaving() && breaker.isCallPermitted(nowNanos);
     }
 
     boolean removed() {
@@ -163,6 +164,10 @@
 
     void updateListing(UpstreamListing newListing) {
         listing = newListing;
+        if (removed) {
+            // It has come back since it left.
+            saysLeaving = false;
+        }
         removed = false;
         if (newListing.loadedVersion().isPresent() || report == null) {
             servedVersion = newListing.loadedVersion();
@@ -244,6 +249,18 @@
         failureShare -= FAILURE_SMOOTHING * failureShare;
     }
 
+    /**
+     * Records that a response states that the upstream is about to exit. It gets no new requests, unless it is listed
+     * again after its removal from the list.
+     *
+     * @return whether this is the first such response
+     */
+    public boolean recordLeaving() {
+        boolean first = !saysLeaving;
+        saysLeaving = true;
+        return first;
+    }
+
     /** Records a failure of the upstream itself. */
     public void recordFailure(long nowNanos) {
         breaker.onFailure(nowNanos);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -15,6 +15,7 @@
 import org.masticcroft.gateway.http.ResponseHead;
 import org.masticcroft.gateway.http.ResponseListener;
 import org.masticcroft.gateway.http.ResponseMatch;
+import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.verdict.Verdict;
 
 /** One attempt to have a request served by an upstream. */
@@ -145,6 +146,17 @@
         mediaType = Optional.ofNullable(HttpUtil.getMimeType(response))
                 .map(type -> type.toString().toLowerCase(Locale.ROOT));
         upstream.updateServedVersion(head.weightsVersion());
+        if (head.leaving() && upstream.recordLeaving()) {
+            context.log()
+                    .write(
+                            Event.UPSTREAM_NOT_ROUTABLE,
+                            "upstream",
+                            upstream.id(),
+                            "reason",
+                            "says-leaving",
+                            "request",
+                            exchange.id());
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param attemptId id of the attempt that the response belongs to, if stated
  * @param signed whether the response carries the upstream's signature
  * @param weightsVersion version of the weights that served the request, if stated
+ * @param leaving whether the upstream states that it is about to exit
  */
 public record ResponseHead(
         int status,
@@ -20,7 +21,8 @@
         boolean wrongUpstream,
         Optional<String> attemptId,
         boolean signed,
-        OptionalLong weightsVersion) {
+        OptionalLong weightsVersion,
+        boolean leaving) {
     public ResponseHead {
         Objects.requireNonNull(attemptId, "attemptId");
         Objects.requireNonNull(weightsVersion, "weightsVersion");
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -14,6 +14,25 @@
     private final Upstream upstream = Upstream.of(
             new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, OptionalLong.of(1)), 0);
 
+    // Guards against an upstream that gets requests although its responses say that it leaves, because its listing is
+    // updated late.
+    @Test
+    void getsNoRequestsOnceItSaysThatItLeaves() {
+        assertThat(upstream.recordLeaving()).isTrue();
+        assertThat(upstream.recordLeaving()).isFalse();
+        upstream.updateListing(upstream.listing());
+        assertThat(upstream.acceptsRequests(0)).isFalse();
+    }
+
+    // Guards against an upstream that is not used any more although it is listed again.
+    @Test
+    void getsRequestsWhenItIsListedAgainAfterItLeft() {
+        upstream.recordLeaving();
+        upstream.remove(0);
+        upstream.updateListing(upstream.listing());
+        assertThat(upstream.acceptsRequests(0)).isTrue();
+    }
+
     // Guards against requests that circulate among engines that refuse them while they load weights.
     @Test
     void doublesThePauseWithEachRefusalUntilItAcceptsARequest() {
