Send nothing to an engine for the time that it asks for with 503

A request that the pauses of all engines outlast is refused at once. A pause is no failure. Event 1228 names the request.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -87,6 +87,11 @@
             refuse(request, "no-upstream", OUTAGE_RETRY_AFTER);
             return;
         }
+        Duration pause = UpstreamChooser.untilPauseEnds(table.ofService(service), now);
+        if (outlasts(pause, request, now)) {
+            refuse(request, "upstreams-paused", pause);
+            return;
+        }
         Duration wait = expectedWait(request, priority, now);
         if (!request.alreadySent() && !worthWaiting(request, wait, now)) {
             refuse(request, "expected-wait", wait);
@@ -202,7 +207,13 @@
             return;
         }
         lastExpiryCheckNanos = now;
+        Duration pause = UpstreamChooser.untilPauseEnds(table.ofService(service), now);
         for (QueuedRequest request : List.copyOf(waiting)) {
+            if (outlasts(pause, request, now)) {
+                waiting.remove(request);
+                refuse(request, "upstreams-paused", pause);
+                continue;
+            }
             long remainingNanos = request.firstByteDeadlineNanos()
                     - now
                     - estimate.timeToFirstByte().toNanos();
@@ -215,6 +226,11 @@
         }
     }
 
+    /** Returns whether the pause of all upstreams ends only after the first byte of the response is due. */
+    private static boolean outlasts(Duration pause, QueuedRequest request, long now) {
+        return !pause.isZero() && now + pause.toNanos() - request.firstByteDeadlineNanos() >= 0;
+    }
+
     private void refuseAll() {
         List<QueuedRequest> refused = List.copyOf(waiting);
         waiting.clear();
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -48,6 +48,7 @@
     private long lastByteNanos;
     private long lastReceivedNanos;
     private long pausedUntilNanos;
+    private long askedPauseEndNanos;
     private int consecutiveRefusals;
     private final RecentMaximum slowestFirstByte;
     private final Deque<Long> unansweredSinceNanos = new ArrayDeque<>();
@@ -58,6 +59,7 @@
         this.lastByteNanos = nowNanos;
         this.lastReceivedNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
+        this.askedPauseEndNanos = nowNanos;
         this.slowestFirstByte = RecentMaximum.over(SLOWEST_FIRST_BYTE_WINDOW, nowNanos);
     }
 
@@ -146,7 +148,7 @@
 
     /** Returns whether new requests may be sent to the upstream now. */
     public boolean acceptsRequests(long nowNanos) {
-        return usable(nowNanos) && nowNanos - pausedUntilNanos >= 0;
+        return usable(nowNanos) && nowNanos - pausedUntilNanos >= 0 && nowNanos - askedPauseEndNanos >= 0;
     }
 
     /** Returns whether the upstream may get requests, now or after the pause that follows a refusal. */
@@ -261,6 +263,19 @@
         return first;
     }
 
+    /** Records that the upstream asks for a pause; the latest end of all pauses counts. */
+    public void recordPause(long nowNanos, Duration pause) {
+        long endNanos = nowNanos + pause.toNanos();
+        if (endNanos - askedPauseEndNanos > 0) {
+            askedPauseEndNanos = endNanos;
+        }
+    }
+
+    /** Returns the monotonic time at which the pause ends that the upstream asked for; now if there is none. */
+    long askedPauseEndNanos(long nowNanos) {
+        return askedPauseEndNanos - nowNanos > 0 ? askedPauseEndNanos : nowNanos;
+    }
+
     /** Records a failure of the upstream itself. */
     public void recordFailure(long nowNanos) {
         breaker.onFailure(nowNanos);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -97,6 +97,15 @@
                                         upstream, versions, untilBegin(0, upstream, profile.get(), nowNanos))));
     }
 
+    /** Returns the time until any usable upstream is past the pause it asked for; zero if one is, or none is usable. */
+    static Duration untilPauseEnds(List<Upstream> upstreams, long nowNanos) {
+        return upstreams.stream()
+                .filter(upstream -> upstream.usable(nowNanos))
+                .map(upstream -> Duration.ofNanos(upstream.askedPauseEndNanos(nowNanos) - nowNanos))
+                .min(Duration::compareTo)
+                .orElse(Duration.ZERO);
+    }
+
     private static boolean eligible(
             QueuedRequest request,
             Upstream upstream,
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -146,6 +146,7 @@
         mediaType = Optional.ofNullable(HttpUtil.getMimeType(response))
                 .map(type -> type.toString().toLowerCase(Locale.ROOT));
         upstream.updateServedVersion(head.weightsVersion());
+        head.pause().ifPresent(this::recordPause);
         if (head.leaving() && upstream.recordLeaving()) {
             context.log()
                     .write(
@@ -218,6 +219,21 @@
         fail(failure.verdict(), failure.name().toLowerCase(Locale.ROOT).replace('_', '-'));
     }
 
+    private void recordPause(Duration pause) {
+        upstream.recordPause(context.time().nanoTime(), pause);
+        context.log()
+                .write(
+                        Event.UPSTREAM_PAUSED,
+                        "upstream",
+                        upstream.id(),
+                        "ms",
+                        pause.toMillis(),
+                        "request",
+                        exchange.id(),
+                        "in_flight",
+                        upstream.inFlight());
+    }
+
     private void reportUnanswered(CallFailure failure) {
         if (failure.connectionLost()) {
             exchange.recordPossibleCrash();
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.masticcroft.gateway.http;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -13,6 +14,7 @@
  * @param attemptId id of the attempt that the response belongs to, if stated
  * @param signed whether the response carries the upstream's signature
  * @param weightsVersion version of the weights that served the request, if stated
+ * @param pause time for which the upstream wants no requests from this process, if stated
  * @param leaving whether the upstream states that it is about to exit
  */
 public record ResponseHead(
@@ -22,10 +24,12 @@
         Optional<String> attemptId,
         boolean signed,
         OptionalLong weightsVersion,
+        Optional<Duration> pause,
         boolean leaving) {
     public ResponseHead {
         Objects.requireNonNull(attemptId, "attemptId");
         Objects.requireNonNull(weightsVersion, "weightsVersion");
+        Objects.requireNonNull(pause, "pause");
     }
 
     /** Returns whether the response has a 2xx status and is signed by the upstream. */
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -243,6 +243,47 @@
         }
     }
 
+    @Nested
+    class Pauses {
+        private void pause(String id, Duration duration) {
+            table.listed().stream()
+                    .filter(upstream -> upstream.id().equals(id))
+                    .forEach(upstream -> upstream.recordPause(time.nanoTime(), duration));
+        }
+
+        /** Guards against requests that wait for upstreams whose pause ends after the callers have left. */
+        @Test
+        void ofAllUpstreamsRefuseAtOnceWhatTheyOutlast() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            pause("e1", CALLER_TIMEOUT);
+
+            assertThat(add("a", 1).refusal).isPresent();
+        }
+
+        /** Guards against requests that are refused although the pause ends in time. */
+        @Test
+        void thatEndInTimeLetRequestsWait() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            pause("e1", Duration.ofMillis(100));
+            FakeRequest request = add("a", 1);
+            assertThat(request.refusal).isEmpty();
+
+            time.advance(Duration.ofMillis(100));
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
+            assertThat(request.choice).isPresent();
+        }
+
+        /** Guards against the pause of one upstream that stops the others. */
+        @Test
+        void ofOneUpstreamLeaveTheOthersAlone() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            list("e2", "10.0.0.2", "z1", 1, false);
+            pause("e1", CALLER_TIMEOUT);
+
+            assertThat(add("a", 1).choice.orElseThrow().upstream().id()).isEqualTo("e2");
+        }
+    }
+
     @Nested
     class Refusals {
         // Guards against requests that are queued although no upstream can serve them.
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -14,6 +14,16 @@
     private final Upstream upstream = Upstream.of(
             new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, OptionalLong.of(1)), 0);
 
+    // Guards against requests during a pause that the upstream asked for, which later refusals or pauses cut short.
+    @Test
+    void getsNoRequestsUntilTheLatestEndOfItsPauses() {
+        upstream.recordPause(0, Duration.ofSeconds(3));
+        upstream.recordPause(0, Duration.ofSeconds(1));
+        upstream.recordRefusal(0, Duration.ofMillis(60));
+        assertThat(upstream.acceptsRequests(Duration.ofMillis(2999).toNanos())).isFalse();
+        assertThat(upstream.acceptsRequests(Duration.ofSeconds(3).toNanos())).isTrue();
+    }
+
     // Guards against an upstream that gets requests although its responses say that it leaves, because its listing is
     // updated late.
     @Test
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -35,6 +35,7 @@
     PLUGIN_SUBSTITUTED(1225, "The configured plug-in is missing; the one in use instead is given."),
     STREAM_RESUMED(1226, "A stream continues on another upstream; the token position is given."),
     REPLY_REJECTED(1227, "A reply of a sidecar does not belong to the open attempt, is out of order or incomplete."),
+    UPSTREAM_PAUSED(1228, "An upstream wants no requests from this process for a time, which is given."),
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
