Revert "Keep a version that is nearly fetched while the origin is down"

The cause given was wrong: a sidecar had about 40 % of version 2 when version 3 was named, and the fleet less than 80 %, so version 2 was given up at once and not for its stall. What loses the time is that the origin, after its outage, needs 4.3 s for a copy and more.

--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -42,12 +42,9 @@
     /** Share of pieces held anywhere in the fleet from which the same applies. */
     private static final double FLEET_COMPLETE_SHARE = 0.8;
 
-    /** Time without a piece after which an older version is given up for a newer one whose pieces arrive. */
+    /** Time without a piece after which an older version is given up for a newer one. */
     private static final Duration STALLED_FETCH = Duration.ofMillis(1500);
 
-    /** The same while no pieces of the newer one arrive either; a crashed origin is back after some seconds. */
-    private static final Duration STALLED_ORIGIN = Duration.ofMillis(8000);
-
     /** Number of copies of one piece with a wrong digest after which the manifest is fetched again. */
     private static final int DIGEST_MISMATCHES_BEFORE_REFETCH = 3;
 
@@ -82,10 +79,6 @@
     private Optional<EngineReport> report = Optional.empty();
     private String model = "";
     private long newestNamed = INITIAL_VERSION;
-
-    /** When another sidecar was first seen to hold pieces of the newest named version. */
-    private Optional<Long> newestHeldNanos = Optional.empty();
-
     private long target;
     private Optional<VerifiedPieces> pieces = Optional.empty();
 
@@ -161,7 +154,6 @@
         if (namedModel.equals(model) && version > newestNamed) {
             log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "previous", newestNamed);
             newestNamed = version;
-            newestHeldNanos = Optional.empty();
             if (config.isPresent()) {
                 turns.recordNamedVersion(model, version);
             } else {
@@ -366,7 +358,7 @@
 
     /** Returns whether most pieces are here, or nearly all are in the fleet, so that the origin is hardly needed. */
     private boolean completesSoon(VerifiedPieces current) {
-        if (fetcher.isPresent() && isStalled(fetcher.get().sinceProgress())) {
+        if (fetcher.isPresent() && fetcher.get().sinceProgress().compareTo(STALLED_FETCH) > 0) {
             return false;
         }
         int pieceCount = current.manifest().pieceCount();
@@ -376,17 +368,6 @@
                 || held.cardinality() >= FLEET_COMPLETE_SHARE * pieceCount;
     }
 
-    /** Returns whether the target version is no longer worth waiting for. */
-    private boolean isStalled(Duration sinceProgress) {
-        if (newestHeldNanos.isEmpty() && !peers.heldByAny(model, newestNamed).isEmpty()) {
-            newestHeldNanos = Optional.of(time.nanoTime());
-        }
-        boolean newestArrives = newestHeldNanos
-                .filter(nanos -> time.since(nanos).compareTo(STALLED_FETCH) > 0)
-                .isPresent();
-        return sinceProgress.compareTo(newestArrives ? STALLED_FETCH : STALLED_ORIGIN) > 0;
-    }
-
     private boolean isLoaded(long version) {
         return report.isPresent()
                 && report.get().loadedVersion().isPresent()
