Count the time before a deletion of the history in the age of a version

The full read that follows took a version that was named meanwhile for new.

Change: the listener is told since when records may have been missed, after a failed read as well as after a deletion. Removals of engines are not deferred after a deletion, as before.

Measured: the new test of DirectoryFollowerTest passes; without the change the listener is not told.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
@@ -30,7 +31,7 @@
     private final DecisionLog log;
     private long nextOffset = -1;
     private int failedReads;
-    private long failedReadNanos;
+    private OptionalLong missedSinceNanos = OptionalLong.empty();
     private int generation;
 
     private DirectoryFollower(
@@ -119,6 +120,7 @@
             case READ -> applyReply(reply, startNanos, wait);
             case EXPIRED -> {
                 log.write(Event.DIRECTORY_EXPIRED, "directory", directory, "from", nextOffset);
+                missedSinceNanos = OptionalLong.of(startNanos);
                 nextOffset = -1;
                 read();
             }
@@ -156,8 +158,10 @@
 
     private void notifyListener(DirectoryReply reply, boolean fullRead, boolean recovered, long confirmedNanos) {
         if (recovered) {
-            listener.storeRecovered(directory, failedReadNanos);
+            listener.storeRecovered(directory);
         }
+        missedSinceNanos.ifPresent(nanos -> listener.recordsMissedSince(directory, nanos));
+        missedSinceNanos = OptionalLong.empty();
         if (fullRead) {
             listener.snapshot(directory, reply.changes());
         } else {
@@ -175,7 +179,7 @@
 
     private void handleFailure(String reason, long startNanos) {
         failedReads++;
-        failedReadNanos = startNanos;
+        missedSinceNanos = OptionalLong.of(startNanos);
         if (failedReads == 1) {
             log.write(Event.STORE_LOST, "directory", directory, "reason", reason);
         }
@@ -217,13 +221,16 @@
         /** Called when the store has confirmed that no newer record existed at a monotonic time in nanoseconds. */
         void confirmed(Directory directory, long nanos);
 
+        /** Called when the store answers again after a failure, before the records of its first answer are passed. */
+        default void storeRecovered(Directory directory) {}
+
         /**
-         * Called when the store answers again after a failure, before the records of its first answer are passed.
+         * Called before records are passed that a previous read may have missed, because it failed or the history was
+         * deleted.
          *
-         * @param directory directory that was read
-         * @param failedReadNanos monotonic time at which the last read that failed was sent; records that were written
-         *     since then come only with this answer
+         * @param directory directory that is read
+         * @param nanos monotonic time at which that read was sent; the records may have been written since then
          */
-        default void storeRecovered(Directory directory, long failedReadNanos) {}
+        default void recordsMissedSince(Directory directory, long nanos) {}
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -35,8 +36,7 @@
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
-    private boolean operatorReadFailed;
-    private long failedOperatorReadNanos;
+    private OptionalLong operatorRecordsMissedSinceNanos = OptionalLong.empty();
 
     private FleetState(
             TimeSource time,
@@ -119,17 +119,21 @@
     public void confirmed(Directory directory, long nanos) {
         if (directory == Directory.OPERATOR) {
             storeFreshness.confirmedAt(nanos);
-            operatorReadFailed = false;
+            operatorRecordsMissedSinceNanos = OptionalLong.empty();
         }
     }
 
     @Override
-    public void storeRecovered(Directory directory, long failedReadNanos) {
+    public void storeRecovered(Directory directory) {
         if (directory == Directory.UPSTREAMS) {
             deferredRemovals.begin(time.nanoTime());
-        } else {
-            operatorReadFailed = true;
-            failedOperatorReadNanos = failedReadNanos;
+        }
+    }
+
+    @Override
+    public void recordsMissedSince(Directory directory, long nanos) {
+        if (directory == Directory.OPERATOR) {
+            operatorRecordsMissedSinceNanos = OptionalLong.of(nanos);
         }
     }
 
@@ -178,8 +182,9 @@
         checkPauses();
         Duration sinceConfirmation = storeFreshness.age();
         Duration delay = pauses.greatestAgeOfNews();
-        if (operatorReadFailed && delay.compareTo(time.since(failedOperatorReadNanos)) < 0) {
-            delay = time.since(failedOperatorReadNanos);
+        if (operatorRecordsMissedSinceNanos.isPresent()) {
+            Duration missed = time.since(operatorRecordsMissedSinceNanos.getAsLong());
+            delay = missed.compareTo(delay) > 0 ? missed : delay;
         }
         return delay.compareTo(sinceConfirmation) < 0 ? delay : sinceConfirmation;
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -147,7 +148,7 @@
                     new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
                     new IgnoringListener() {
                         @Override
-                        public void storeRecovered(Directory directory, long failedReadNanos) {
+                        public void storeRecovered(Directory directory) {
                             recovered.countDown();
                         }
                     },
@@ -177,6 +178,43 @@
         }
     }
 
+    /** Pattern: the store deletes its history while a read waits for changes. */
+    @Nested
+    class ADeletedHistory {
+        private static final Duration SILENCE = Duration.ofMillis(300);
+
+        /** Guards against records that count as new although the read that should have returned them was cut off. */
+        @Test
+        void makesTheNextRecordsAsOldAsTheReadThatWaited() throws Exception {
+            CompletableFuture<Duration> missedFor = new CompletableFuture<>();
+            DirectoryFollower follower = DirectoryFollower.of(
+                    Directory.OPERATOR,
+                    new ChangingStore() {
+                        @Override
+                        public void readFrom(
+                                Directory directory, long from, Duration wait, Consumer<DirectoryReply> reply) {
+                            loop.schedule(
+                                    () -> reply.accept(DirectoryReply.expired()),
+                                    SILENCE.toMillis(),
+                                    TimeUnit.MILLISECONDS);
+                        }
+                    },
+                    loop,
+                    time,
+                    new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
+                    new IgnoringListener() {
+                        @Override
+                        public void recordsMissedSince(Directory directory, long nanos) {
+                            missedFor.complete(time.since(nanos));
+                        }
+                    },
+                    log);
+            loop.execute(follower::start);
+
+            assertThat(missedFor.get(5, TimeUnit.SECONDS)).isGreaterThanOrEqualTo(SILENCE);
+        }
+    }
+
     /** Store that has a change for each read. */
     private static class ChangingStore implements FleetStore {
         private final AtomicInteger reads = new AtomicInteger();
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -79,7 +79,7 @@
         @Test
         void takesEffectAtOnceWhileRemovalsAreDeferred() {
             fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b")));
-            fleet.storeRecovered(Directory.UPSTREAMS, time.nanoTime());
+            fleet.storeRecovered(Directory.UPSTREAMS);
             fleet.snapshot(Directory.UPSTREAMS, List.of(unreadable("a"), listed("b")));
 
             assertThat(ids()).containsExactly("b");
@@ -102,7 +102,7 @@
         @Test
         void isVoidOnceTheUpstreamIsListedAgain() {
             fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a")));
-            fleet.storeRecovered(Directory.UPSTREAMS, time.nanoTime());
+            fleet.storeRecovered(Directory.UPSTREAMS);
             fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
             fleet.snapshot(Directory.UPSTREAMS, List.of());
             fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
@@ -116,7 +116,7 @@
         @Test
         void ofFewUpstreamsTakesEffectAtOnce() {
             fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c")));
-            fleet.storeRecovered(Directory.UPSTREAMS, time.nanoTime());
+            fleet.storeRecovered(Directory.UPSTREAMS);
             fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
 
             assertThat(ids()).containsExactly("b", "c");
@@ -126,7 +126,7 @@
         @Test
         void ofMostUpstreamsWaitsForTheirReturn() {
             fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c")));
-            fleet.storeRecovered(Directory.UPSTREAMS, time.nanoTime());
+            fleet.storeRecovered(Directory.UPSTREAMS);
             fleet.changed(
                     Directory.UPSTREAMS,
                     List.of(new FleetChange.UpstreamRemoved("a"), new FleetChange.UpstreamRemoved("b")));
@@ -141,7 +141,7 @@
         @Test
         void countsWithTheEarlierOnesOfTheSameOutage() {
             fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c"), listed("d")));
-            fleet.storeRecovered(Directory.UPSTREAMS, time.nanoTime());
+            fleet.storeRecovered(Directory.UPSTREAMS);
             for (String id : List.of("a", "b", "c")) {
                 fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved(id)));
             }
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
@@ -89,7 +89,7 @@
             advanceInSteps(10);
             long sentNanos = time.nanoTime();
             advanceInSteps(27);
-            fleet.storeRecovered(Directory.OPERATOR, sentNanos);
+            fleet.recordsMissedSince(Directory.OPERATOR, sentNanos);
             assertThat(ageOfVersionNamedNow()).isEqualTo(Duration.ofMillis(2700));
         }
 
