Report an order that crashed one engine to the other entries

Cause: an entry reported a request only after two failures of its own, and an order reaches one engine through each entry.

Change: a request that may not be repeated is reported after one failure, with the number of failed engines. Repeatable requests keep their threshold of two, so that a harmless read in flight at several engines that crash is not quarantined everywhere. A response of an engine clears a request.

This works because the failures that single entries see now add up in all of them.

The new tests of CrashSuspectsTest pass; the earlier ones have the new parameter and the same expectations.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,14 +12,18 @@
 /**
  * Requests that may crash upstreams: those that were in flight when an upstream failed without a response. A request
  * that is involved in such failures of several upstreams is quarantined. Its caller may send it again through any
- * entry, so the entries tell each other about their suspects. Used on the event loop only.
+ * entry, so the entries tell each other about each failure. A response clears a request of suspicion, since a harmless
+ * one that is sent often is in flight at many upstreams. Used on the event loop only.
  */
 public final class CrashSuspects {
     /** Number of failed upstreams from which a request is quarantined. */
     private static final int UPSTREAMS_TO_QUARANTINE = 3;
 
-    /** Number of failed upstreams from which a request is reported to the other entries. */
-    private static final int UPSTREAMS_TO_REPORT = 2;
+    /**
+     * Number of failed upstreams from which a repeatable request is reported to the other entries. An entry sends such
+     * a request to a second upstream itself, so one failure shows little; any other request is reported after one.
+     */
+    private static final int UPSTREAMS_TO_REPORT_REPEATABLE = 2;
 
     /** Time after the last failure at which a request is forgotten; a crashed engine is back after some seconds. */
     private static final Duration RETENTION = Duration.ofSeconds(60);
@@ -35,8 +40,22 @@
         return new CrashSuspects();
     }
 
-    /** Records that an upstream failed without a response while a request was in flight there. */
-    public void recordFailure(long fingerprint, String upstream, long nowNanos) {
+    /**
+     * Records that an upstream failed without a response while a request was in flight there.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param upstream id of the upstream
+     * @param repeatable whether the request may be sent to another upstream after a failure
+     * @param nowNanos monotonic time in nanoseconds
+     */
+    public void recordFailure(long fingerprint, String upstream, boolean repeatable, long nowNanos) {
+        recordFailure(fingerprint, upstream, nowNanos);
+        if (suspects.containsKey(fingerprint)) {
+            suspects.get(fingerprint).repeatable = repeatable;
+        }
+    }
+
+    private void recordFailure(long fingerprint, String upstream, long nowNanos) {
         suspects.values().removeIf(suspect -> nowNanos - suspect.lastFailureNanos > RETENTION.toNanos());
         if (suspects.size() >= MAX_SUSPECTS && !suspects.containsKey(fingerprint)) {
             return;
@@ -46,10 +65,24 @@
         suspect.lastFailureNanos = nowNanos;
     }
 
-    /** Records the report of another entry that a request was in flight when two upstreams failed. */
-    public void recordReport(long fingerprint, String entry, long nowNanos) {
-        recordFailure(fingerprint, entry + "/1", nowNanos);
-        recordFailure(fingerprint, entry + "/2", nowNanos);
+    /**
+     * Records the report of another entry.
+     *
+     * @param fingerprints one element for each upstream that failed while the request was in flight there
+     * @param entry address of the entry
+     * @param nowNanos monotonic time in nanoseconds
+     */
+    public void recordReport(List<Long> fingerprints, String entry, long nowNanos) {
+        Map<Long, Integer> counts = new HashMap<>();
+        for (long fingerprint : fingerprints) {
+            int count = counts.merge(fingerprint, 1, Integer::sum);
+            recordFailure(fingerprint, entry + "/" + count, nowNanos);
+        }
+    }
+
+    /** Records that an upstream responded to a request and so survived it. */
+    public void recordResponse(long fingerprint) {
+        suspects.remove(fingerprint);
     }
 
     /** Returns whether no request is remembered. */
@@ -65,12 +98,16 @@
                 && suspect.upstreams.size() >= UPSTREAMS_TO_QUARANTINE;
     }
 
-    /** Returns the fingerprints of the requests that are reported to the other entries. */
+    /**
+     * Returns the report to the other entries: the fingerprint of each request, once for each upstream that this entry
+     * saw fail, up to the number that is enough for a quarantine.
+     */
     public List<Long> fingerprintsToReport() {
         List<Long> fingerprints = new ArrayList<>();
         suspects.forEach((fingerprint, suspect) -> {
-            if (suspect.locallyObservedUpstreams() >= UPSTREAMS_TO_REPORT) {
-                fingerprints.add(fingerprint);
+            int failed = (int) Math.min(UPSTREAMS_TO_QUARANTINE, suspect.locallyObservedUpstreams());
+            if (!suspect.repeatable || failed >= UPSTREAMS_TO_REPORT_REPEATABLE) {
+                fingerprints.addAll(Collections.nCopies(failed, fingerprint));
             }
         });
         return fingerprints;
@@ -78,6 +115,7 @@
 
     private static final class Suspect {
         private final Set<String> upstreams = new HashSet<>();
+        private boolean repeatable = true;
         private long lastFailureNanos;
 
         /** Leaves out the reports of other entries, so that entries do not confirm each other's suspicions. */
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -53,6 +53,7 @@
 import org.masticcroft.kernel.retry.RetryBudget;
 import org.masticcroft.kernel.retry.SlidingRetryBudget;
 import org.masticcroft.kernel.time.TimeSource;
+import org.masticcroft.kernel.verdict.Verdict;
 
 /** An entry: admits the requests of callers and routes each one to an upstream. Runs on one event loop. */
 public final class EntryNode implements ExchangeContext, Node {
@@ -334,7 +335,7 @@
     public void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure) {
         long fingerprint = exchange.request().fingerprint();
         long now = time.nanoTime();
-        suspects.recordFailure(fingerprint, upstream.id(), now);
+        suspects.recordFailure(fingerprint, upstream.id(), exchange.route().repeatable(), now);
         log.write(
                 Event.SUSPECT_MARKED,
                 "request",
@@ -435,6 +436,9 @@
     @Override
     public void onEnded(Exchange exchange, ExchangeOutcome end) {
         openExchanges.remove(exchange);
+        if (end.verdict() == Verdict.RAN && !suspects.isEmpty()) {
+            suspects.recordResponse(exchange.request().fingerprint());
+        }
         recorder.ended(exchange, end);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -121,9 +121,7 @@
         load.getNamedList().forEach(named -> fleet.applyNamedVersion(named.getModel(), named.getVersion()));
         for (Suspicion suspicion : load.getSuspicionsList()) {
             if (!suspicion.getEntry().equals(settings.ip())) {
-                suspicion
-                        .getFingerprintsList()
-                        .forEach(fingerprint -> suspects.recordReport(fingerprint, suspicion.getEntry(), now));
+                suspects.recordReport(suspicion.getFingerprintsList(), suspicion.getEntry(), now);
             }
         }
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/CrashSuspectsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/CrashSuspectsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class CrashSuspectsTest {
@@ -11,10 +12,10 @@
     // Guards against a request that crashes one engine after another because its caller keeps retrying it.
     @Test
     void quarantineARequestAfterThreeUpstreams() {
-        suspects.recordFailure(7, "e1", 0);
-        suspects.recordFailure(7, "e2", 0);
+        suspects.recordFailure(7, "e1", true, 0);
+        suspects.recordFailure(7, "e2", true, 0);
         assertThat(suspects.quarantined(7, 0)).isFalse();
-        suspects.recordFailure(7, "e3", 0);
+        suspects.recordFailure(7, "e3", true, 0);
         assertThat(suspects.quarantined(7, 0)).isTrue();
     }
 
@@ -22,7 +23,7 @@
     @Test
     void countAnUpstreamOnce() {
         for (int i = 0; i < 5; i++) {
-            suspects.recordFailure(7, "e1", 0);
+            suspects.recordFailure(7, "e1", true, 0);
         }
         assertThat(suspects.quarantined(7, 0)).isFalse();
         assertThat(suspects.fingerprintsToReport()).isEmpty();
@@ -31,18 +32,43 @@
     // Guards against a crashing request that its caller sends through one entry after another.
     @Test
     void countTheReportOfAnotherEntry() {
-        suspects.recordReport(7, "10.0.0.1", 0);
+        suspects.recordReport(List.of(7L, 7L), "10.0.0.1", 0);
         assertThat(suspects.quarantined(7, 0)).isFalse();
         assertThat(suspects.fingerprintsToReport()).isEmpty();
-        suspects.recordFailure(7, "e9", 0);
+        suspects.recordFailure(7, "e9", true, 0);
         assertThat(suspects.quarantined(7, 0)).isTrue();
     }
 
+    // Guards against a crashing request that reaches another engine through each entry, since none sees two failures.
+    @Test
+    void countASingleFailureAtEachEntry() {
+        CrashSuspects first = CrashSuspects.empty();
+        CrashSuspects second = CrashSuspects.empty();
+        first.recordFailure(7, "e1", false, 0);
+        second.recordFailure(7, "e2", false, 0);
+        suspects.recordReport(first.fingerprintsToReport(), "10.0.0.1", 0);
+        suspects.recordReport(second.fingerprintsToReport(), "10.0.0.2", 0);
+        suspects.recordReport(second.fingerprintsToReport(), "10.0.0.2", 0);
+        assertThat(suspects.quarantined(7, 0)).isFalse();
+        suspects.recordFailure(7, "e3", true, 0);
+        assertThat(suspects.quarantined(7, 0)).isTrue();
+    }
+
+    // Guards against the quarantine of a harmless request that is sent often, when several engines fail at once.
+    @Test
+    void clearARequestThatGotAResponse() {
+        suspects.recordFailure(7, "e1", true, 0);
+        suspects.recordFailure(7, "e2", true, 0);
+        suspects.recordResponse(7);
+        suspects.recordFailure(7, "e3", true, 0);
+        assertThat(suspects.quarantined(7, 0)).isFalse();
+    }
+
     @Test
     void forgetARequestAfterTheRetentionTime() {
-        suspects.recordFailure(7, "e1", 0);
-        suspects.recordFailure(7, "e2", 0);
-        suspects.recordFailure(7, "e3", 0);
+        suspects.recordFailure(7, "e1", true, 0);
+        suspects.recordFailure(7, "e2", true, 0);
+        suspects.recordFailure(7, "e3", true, 0);
         assertThat(suspects.quarantined(7, Duration.ofSeconds(61).toNanos())).isFalse();
     }
 }
