Expect the waits of a loaded service before a change of weights

Cause: an entry predicts when an engine begins a request from what it sees there itself, which is little in a large fleet. Such a request is withdrawn shortly before the bound, which only most engines heed.

Change: a request goes to an engine with outdated weights only if it would begin in time after twice the mean time to the first byte of the service.

In a calm service the mean is about 150 ms, below the 0.9 s that are left before the bound anyway.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -27,6 +27,9 @@
     /** Retry-after time while no upstream serves; engines are back after seconds. */
     private static final Duration OUTAGE_RETRY_AFTER = Duration.ofMillis(2000);
 
+    /** Ratio of the time to the first byte of the slowest tenth of the responses to the mean, in a loaded service. */
+    private static final int SLOW_RESPONSE_RATIO = 2;
+
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(100);
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
@@ -69,8 +72,9 @@
     }
 
     /** Dispatches a request to an upstream at once, queues it, or refuses it if it would wait too long. */
-    public void add(QueuedRequest request, Optional<EngineProfile> profile, VersionLimit limit) {
+    public void add(QueuedRequest request, Optional<EngineProfile> profile, VersionLimit statedLimit) {
         long now = time.nanoTime();
+        VersionLimit limit = forSlowResponses(statedLimit);
         double priority = priority(request, now);
         if (!request.alreadySent() && !isLate(request, now)) {
             estimate.recordArrival(request.rank(), now);
@@ -120,8 +124,9 @@
     }
 
     /** Dispatches waiting requests in order while upstreams have capacity, and refuses those that cannot be served. */
-    public void dispatchWaiting(Optional<EngineProfile> profile, VersionLimit limit) {
+    public void dispatchWaiting(Optional<EngineProfile> profile, VersionLimit statedLimit) {
         long now = time.nanoTime();
+        VersionLimit limit = forSlowResponses(statedLimit);
         estimate.update(now, !waiting.isEmpty());
         if (waiting.isEmpty()) {
             return;
@@ -143,6 +148,15 @@
         refuseExpiring(now);
     }
 
+    /**
+     * Returns the limit for a request that waits in its engine as long as the slow ones of the service. One entry sees
+     * few of the requests at an engine, so its prediction for that engine is too short under load.
+     */
+    private VersionLimit forSlowResponses(VersionLimit limit) {
+        Duration slow = estimate.timeToFirstByte().multipliedBy(SLOW_RESPONSE_RATIO);
+        return untilBegin -> limit.oldestAllowed(untilBegin.compareTo(slow) < 0 ? slow : untilBegin);
+    }
+
     /** Returns the position in the order of dispatch; lower is dispatched first. */
     static double priority(QueuedRequest request, long nowNanos) {
         if (request.alreadySent()) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -243,6 +243,38 @@
         }
     }
 
+    @Nested
+    class OutdatedWeights {
+        private static final Duration UNTIL_BOUND = Duration.ofSeconds(1);
+
+        private FakeRequest addShortlyBeforeTheBound() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest request = request("a", new Rank(1, 1));
+            queue.add(
+                    request,
+                    PROFILE,
+                    untilBegin -> untilBegin.compareTo(UNTIL_BOUND) < 0 ? OptionalLong.empty() : OptionalLong.of(2));
+            return request;
+        }
+
+        @Test
+        void serveARequestThatBeginsInTime() {
+            assertThat(addShortlyBeforeTheBound().choice).isPresent();
+        }
+
+        /**
+         * Guards against a request that begins on outdated weights after the bound, because it waits in a loaded engine
+         * of which this entry has no response yet.
+         */
+        @Test
+        void serveNoRequestThatWaitsAsLongAsOthersOfTheService() {
+            for (int i = 0; i < 50; i++) {
+                queue.recordTimeToFirstByte(Duration.ofMillis(600));
+            }
+            assertThat(addShortlyBeforeTheBound().refusal).isPresent();
+        }
+    }
+
     @Nested
     class Pauses {
         private void pause(String id, Duration duration) {
