Close connections in a planned stop only after they were idle for a while

Cause: a stopping entry closed a connection at the next check after its last response, up to 100 ms later. A caller that sends its next request at once met the close instead of the 503, and the test met it too.

Change: a connection is closed once it has been idle for 0.5 s.

This works because a caller that goes on at once is answered, and the response closes its connection.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Objects;
@@ -89,9 +90,13 @@
         }
     }
 
-    /** Closes the connections without an open request, once the responses written to them have been sent. */
-    public void closeIdle() {
-        new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
+    /**
+     * Closes the connections on which no request is open or arriving, once the responses written to them are sent.
+     *
+     * @param idleFor shortest time since the last request or response on a connection that is closed
+     */
+    public void closeIdle(Duration idleFor) {
+        new ArrayList<>(connections).forEach(connection -> connection.closeIfIdle(idleFor));
     }
 
     /** Returns whether the server has stopped listening and all its connections have ended. */
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -65,8 +65,9 @@
         return current != null || !pipelined.isEmpty();
     }
 
-    void closeIfIdle() {
-        if (!busy() && head == null && !headTimer.headBegun()) {
+    void closeIfIdle(Duration idleFor) {
+        boolean idle = !busy() && head == null && !headTimer.headBegun();
+        if (idle && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0) {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
@@ -16,6 +16,9 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
+    /** A caller that goes on at once after a response gets an answer, instead of a connection that is being closed. */
+    private static final Duration IDLE_BEFORE_CLOSE = Duration.ofMillis(500);
+
     /** Time for which the last bytes of the responses leave the machine before the process ends. */
     private static final long FLUSH_MILLIS = 100;
 
@@ -77,7 +80,7 @@
     /** Waits for the connections and not only for open requests, because a request may be arriving. */
     private void awaitConnections(Runnable finished) {
         callers.stopListening();
-        callers.closeIdle();
+        callers.closeIdle(IDLE_BEFORE_CLOSE);
         if (callers.closed()) {
             end(finished);
         } else if (!ended) {
