Log when a planned stop began and what its end cuts off

PROCESS_DRAINING now has the number of connections and the time from the signal to the begin of the stop (late_ms), and is written once more at the end (effect=finished) with the connections and the response bytes that are left. No decision changed. PlannedStopTest and HttpServerTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -104,6 +104,16 @@
         return !serverChannel.isOpen() && connections.isEmpty();
     }
 
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    /** Returns the number of response bytes that wait in this process because callers read slowly. */
+    public long unsentBytes() {
+        return connections.stream().mapToLong(ServerConnection::unsentBytes).sum();
+    }
+
     boolean draining() {
         return draining;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -65,6 +66,12 @@
         return current != null || !pipelined.isEmpty();
     }
 
+    /** Returns the number of bytes that were written to the connection and not passed to the kernel yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     void closeIfIdle(Duration idleFor) {
         boolean idle = !busy() && head == null && !headTimer.headBegun();
         if (idle && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0) {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -210,14 +210,39 @@
 
     @Override
     public void stop(Runnable finished) {
+        long requestedNanos = time.nanoTime();
         loop.execute(() -> {
             if (!stop.begun()) {
-                log.write(Event.PROCESS_DRAINING, "open_requests", openExchanges.size());
-                stop.begin(this::endOpenRequests, finished);
+                log.write(
+                        Event.PROCESS_DRAINING,
+                        "open_requests",
+                        openExchanges.size(),
+                        "connections",
+                        callerServer.openConnections(),
+                        "late_ms",
+                        time.since(requestedNanos).toMillis());
+                stop.begin(this::endOpenRequests, () -> {
+                    logEndOfStop();
+                    finished.run();
+                });
             }
         });
     }
 
+    /** Logs what the exit of the process cuts off. */
+    private void logEndOfStop() {
+        log.write(
+                Event.PROCESS_DRAINING,
+                "open_requests",
+                openExchanges.size(),
+                "effect",
+                "finished",
+                "connections",
+                callerServer.openConnections(),
+                "unsent_bytes",
+                callerServer.unsentBytes());
+    }
+
     private void endOpenRequests() {
         log.write(Event.PROCESS_DRAINING, "open_requests", openExchanges.size(), "effect", "ended");
         List.copyOf(openExchanges).forEach(Exchange::endBeforeExit);
