Refuse streams that a stopping entry is not expected to finish

Cause: while callers still open new connections to a stopping entry, requests were taken without any check that they can be finished. Change: the entry learns per route how long complete responses take for each token that they may have, and a stopping entry refuses a request that is expected to outlast the process, with a Retry-After after which the caller reaches another entry. What is expected to end in time is taken as before; so is any request of which nothing is known.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
@@ -60,9 +60,10 @@
      *
      * @param model name of the model
      * @param promptTokens number of tokens of the prompt
+     * @param maxOutputTokens maximum number of tokens of the response; 0 if unknown
      * @param sharedParts ids of the parts of the prompt that other requests may share, in order
      */
-    public record Generation(String model, int promptTokens, List<Long> sharedParts) {
+    public record Generation(String model, int promptTokens, int maxOutputTokens, List<Long> sharedParts) {
         public Generation {
             Objects.requireNonNull(model, "model");
             sharedParts = List.copyOf(sharedParts);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -31,6 +31,7 @@
 import org.masticcroft.gateway.exchange.ExchangeOutcome;
 import org.masticcroft.gateway.exchange.InitialDeadlineEstimator;
 import org.masticcroft.gateway.exchange.ResponseMemory;
+import org.masticcroft.gateway.exchange.ResponseTimes;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
 import org.masticcroft.gateway.fleet.FleetStore;
@@ -116,6 +117,7 @@
     private final Set<Exchange> openExchanges = new LinkedHashSet<>();
     private final CrashSuspects suspects = CrashSuspects.empty();
     private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
+    private final ResponseTimes responseTimes = ResponseTimes.empty();
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
     private Set<Long> loggedQuarantine = Set.of();
     private boolean evidencePending;
@@ -154,7 +156,7 @@
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
-        this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts);
+        this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
         this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
         FleetStore store = dependencies.store();
         this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
@@ -464,6 +466,9 @@
         if (end.verdict() == Verdict.RAN && !suspects.isEmpty()) {
             suspects.recordResponse(exchange.request().fingerprint());
         }
+        if (end.status() / 100 == 2) {
+            responseTimes.record(exchange.route(), exchange.request(), time.since(exchange.arrivalNanos()));
+        }
         recorder.ended(exchange, end);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
@@ -7,8 +7,9 @@
 import org.masticcroft.kernel.time.TimeSource;
 
 /**
- * Stops the caller side of an entry. Callers still get new connections at first, so all requests are taken. After that,
- * a request is taken only if it ends before the process does. Used on the event loop only.
+ * Stops the caller side of an entry. Callers still get new connections at first, so a request is taken if it is
+ * expected to end before the process does. After that, a request is taken only if its time limit ends before. Used on
+ * the event loop only.
  */
 final class GracefulStop {
     /** Time after the request to stop for which the platform still sends new connections. */
@@ -53,14 +54,25 @@
      * Returns whether a request that has just arrived is taken.
      *
      * @param timeLimit longest time until the request ends
+     * @param expected expected time until the request ends
      */
-    boolean admits(Duration timeLimit) {
+    boolean admits(Duration timeLimit, Duration expected) {
         if (!begun) {
             return true;
         }
-        Duration sinceBegin = time.since(beginNanos);
-        return sinceBegin.compareTo(DEREGISTRATION_DELAY) < 0
-                || sinceBegin.plus(timeLimit).compareTo(limit) < 0;
+        Duration remaining = limit.minus(time.since(beginNanos));
+        Duration needed = untilDeregistered().isZero() ? timeLimit : shorter(timeLimit, expected);
+        return needed.compareTo(remaining) < 0;
+    }
+
+    /** Returns the time for which callers that open a new connection may still reach this entry. */
+    Duration untilDeregistered() {
+        Duration remaining = DEREGISTRATION_DELAY.minus(time.since(beginNanos));
+        return remaining.isNegative() ? Duration.ZERO : remaining;
+    }
+
+    private static Duration shorter(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
     }
 
     /**
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.Optional;
 import org.masticcroft.gateway.config.Customer;
 import org.masticcroft.gateway.config.GatewayConfig;
@@ -12,6 +13,7 @@
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeContext;
+import org.masticcroft.gateway.exchange.ResponseTimes;
 import org.masticcroft.gateway.exchange.RetryAfter;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.ResponseWriter;
@@ -27,6 +29,7 @@
     private final GracefulStop stop;
     private final CrashSuspects suspects;
     private final PromptPartSuspects promptParts;
+    private final ResponseTimes responseTimes;
 
     RequestFilter(
             ExchangeContext context,
@@ -34,13 +37,15 @@
             ConfigValidity configValidity,
             GracefulStop stop,
             CrashSuspects suspects,
-            PromptPartSuspects promptParts) {
+            PromptPartSuspects promptParts,
+            ResponseTimes responseTimes) {
         this.context = context;
         this.fleet = fleet;
         this.configValidity = configValidity;
         this.stop = stop;
         this.suspects = suspects;
         this.promptParts = promptParts;
+        this.responseTimes = responseTimes;
     }
 
     /** Starts the exchange of a request that passes all checks and refuses any other. */
@@ -66,8 +71,13 @@
             refuse(request, writer, confirmed ? 404 : RETRYABLE_STATUS, "no-route");
             return;
         }
-        if (!stop.admits(route.get().timeLimit(request.deadline()))) {
-            refuse(request, writer, RETRYABLE_STATUS, "stopping");
+        if (!stop.admits(route.get().timeLimit(request.deadline()), responseTimes.expected(route.get(), request))) {
+            refuse(
+                    request,
+                    writer,
+                    RETRYABLE_STATUS,
+                    "stopping",
+                    longer(context.retryAfter(), stop.untilDeregistered()));
             return;
         }
         if (!config.requiresKeys() || route.get().anonymous()) {
@@ -87,13 +97,21 @@
     }
 
     private void refuse(CallerRequest request, ResponseWriter writer, int status, String reason) {
+        refuse(request, writer, status, reason, context.retryAfter());
+    }
+
+    private void refuse(CallerRequest request, ResponseWriter writer, int status, String reason, Duration retryAfter) {
         HttpHeaders headers = new DefaultHttpHeaders();
         if (status == RETRYABLE_STATUS) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(context.retryAfter()));
+            headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(retryAfter));
             // Another entry may have newer state; the next request of the caller reaches it only on a new connection.
             headers.set(HttpHeaderNames.CONNECTION, "close");
         }
         writer.writeFull(status, headers, Unpooled.EMPTY_BUFFER);
         context.onRefused(request, status, reason);
     }
+
+    private static Duration longer(Duration a, Duration b) {
+        return a.compareTo(b) >= 0 ? a : b;
+    }
 }
