Keep a stalled attempt until another upstream has room

Callers lost streams whose upstream was sound but silent for about two seconds while all other upstreams were full, also during a planned stop.

Cause: the check for stalls ended the attempt if any other upstream was listed and not paused, and only then queued the request. If the other upstreams had no room, the queue refused it with "no-time-left" within a tenth of a second once the time for a first byte was over, and a response that had started was aborted; one that had not got a 502.

A stalled request is now queued while its attempt goes on. The attempt ends when the queue has chosen another upstream and the retry budget permits the retry. A refusal by the queue leaves the attempt as it is, and progress of the attempt takes the request out of the queue.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -70,6 +70,7 @@
     private boolean mayHaveRun;
     private boolean mayHaveCrashedUpstream;
     private boolean onTrial;
+    private boolean awaitingReplacement;
     private boolean responseStarted;
     private Duration timeToFirstByte = Duration.ZERO;
     private Optional<String> responseMediaType = Optional.empty();
@@ -169,10 +170,18 @@
 
     @Override
     public void dispatch(Choice choice) {
+        if (awaitingReplacement) {
+            replaceStalledAttempt(choice);
+            return;
+        }
         if (!context.admit(request)) {
             refuse(new Refusal("quarantined-part", context.retryAfter()));
             return;
         }
+        send(choice);
+    }
+
+    private void send(Choice choice) {
         onTrial = context.quarantined(request);
         Upstream upstream = choice.upstream();
         long now = context.time().nanoTime();
@@ -215,7 +224,9 @@
 
     @Override
     public void refuse(Refusal refusal) {
-        if (responseStarted || mayHaveRun) {
+        if (awaitingReplacement) {
+            awaitingReplacement = false;
+        } else if (responseStarted || mayHaveRun) {
             fail(refusal.reason());
         } else {
             respond(503, Verdict.NOT_RUN, refusal.reason(), Optional.of(refusal.retryAfter()));
@@ -234,13 +245,40 @@
         mayHaveCrashedUpstream = true;
     }
 
-    /** Fails an attempt that has stalled, if the request is repeatable and another upstream can take it. */
+    /**
+     * Queues a repeatable request whose attempt has stalled for another upstream. The attempt goes on until then,
+     * because its upstream may only be slow.
+     */
     public void checkStall(long nowNanos) {
         if (closed || attempt == null || !route.repeatable()) {
             return;
         }
-        if (StallDetector.isStalled(route, attempt, nowNanos) && canRetryElsewhere()) {
+        if (!replaceable(nowNanos)) {
+            cancelReplacement();
+        } else if (!awaitingReplacement) {
+            awaitingReplacement = true;
+            context.enqueue(this, service);
+        }
+    }
+
+    private boolean replaceable(long nowNanos) {
+        return StallDetector.isStalled(route, attempt, nowNanos) && canRetryElsewhere();
+    }
+
+    /** Sends the request to another upstream, unless the attempt has made progress while the request was queued. */
+    private void replaceStalledAttempt(Choice choice) {
+        awaitingReplacement = false;
+        if (replaceable(context.time().nanoTime()) && context.admit(request) && context.tryRetry(service)) {
             attempt.abandon();
+            events.resume();
+            send(choice);
+        }
+    }
+
+    private void cancelReplacement() {
+        if (awaitingReplacement) {
+            awaitingReplacement = false;
+            context.dequeue(this, service);
         }
     }
 
@@ -326,7 +364,18 @@
      * @param upstreamFull whether the upstream refused the request because it is full
      */
     void onAttemptFailed(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
+        recordFailedAttempt(upstream, verdict, reason, upstreamFull);
+        if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
+            context.loop().schedule(() -> retryOnceCleared(reason), EVIDENCE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            retryOrFail(mayRetry(verdict), reason);
+        }
+    }
+
+    /** Records a failed attempt with the parameters of {@link #onAttemptFailed}. */
+    void recordFailedAttempt(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
         long now = context.time().nanoTime();
+        cancelReplacement();
         attempt = null;
         endAttempt(upstream, verdict, reason);
         if (verdict == Verdict.NOT_RUN) {
@@ -352,11 +401,6 @@
                         events.lastEventId(),
                         "failure_share",
                         Math.round(100 * upstream.failureShare()) / 100.0);
-        if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
-            context.loop().schedule(() -> retryOnceCleared(reason), EVIDENCE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-        } else {
-            retryOrFail(mayRetry(verdict), reason);
-        }
     }
 
     /** Sends a request that may have crashed its upstream to another one only if its prompt is known to be harmless. */
@@ -463,6 +507,7 @@
 
     private void close() {
         closed = true;
+        cancelReplacement();
         deadlineTimer.cancel(false);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -99,11 +99,14 @@
         call.cancel();
     }
 
-    /** Fails the attempt because the upstream has stalled. */
+    /** Ends the attempt because the upstream has stalled and the request is about to be sent to another one. */
     void abandon() {
         boolean sent = call.sent();
         call.cancel();
-        onFailure(sent ? CallFailure.TIMED_OUT : CallFailure.NOT_CONNECTED);
+        CallFailure failure = sent ? CallFailure.TIMED_OUT : CallFailure.NOT_CONNECTED;
+        recordFailure(failure);
+        close();
+        exchange.recordFailedAttempt(upstream, failure.verdict(), reason(failure), false);
     }
 
     /** Returns whether the upstream has begun to answer the request, with weights that no later version replaces. */
@@ -209,6 +212,11 @@
         if (closed) {
             return;
         }
+        recordFailure(failure);
+        fail(failure.verdict(), reason(failure));
+    }
+
+    private void recordFailure(CallFailure failure) {
         upstream.recordFailure(context.time().nanoTime());
         if (failure.verdict() == Verdict.MAY_HAVE_RUN && !responseBegun()) {
             reportUnanswered(failure);
@@ -216,7 +224,10 @@
         if (failure == CallFailure.NOT_CONNECTED) {
             context.httpClient().closeIdle(upstream.listing().address());
         }
-        fail(failure.verdict(), failure.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    }
+
+    private static String reason(CallFailure failure) {
+        return failure.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     private void recordPause(Duration pause) {
