Count the limits of a planned stop from the signal

Seen in trials: an entry whose event loop was late when SIGTERM came took a request unchecked later than 3 s after the signal, and answered the requests that were open at its limit only after the grace period, when the platform has ended the process already.

Cause: the time for which all requests are taken, the limit of open requests and the exit counted from when the event loop began the stop, not from the signal.

Evidence: with a loop that is held up for 1.5 s at the signal, a request sent about 3 s after it on a kept connection, with a time limit of 6 s, was taken; with a grace period of 5 s the stop ended after 5.8 s.

Change: the signal's thread takes the time, all limits count from it, and requests and readiness are checked against it even before the loop begins the stop.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -211,23 +211,24 @@
     }
 
     @Override
-    public void stop(Runnable finished) {
-        long requestedNanos = time.nanoTime();
-        loop.execute(() -> {
-            if (!stop.begun()) {
-                log.write(
-                        Event.PROCESS_DRAINING,
-                        "open_requests",
-                        openExchanges.size(),
-                        "connections",
-                        callerServer.openConnections(),
-                        "late_ms",
-                        time.since(requestedNanos).toMillis());
-                stop.begin(this::endOpenRequests, () -> {
-                    logEndOfStop();
-                    finished.run();
-                });
-            }
+    public void stop(long requestedNanos, Runnable finished) {
+        if (stop.request(requestedNanos)) {
+            loop.execute(() -> beginStop(requestedNanos, finished));
+        }
+    }
+
+    private void beginStop(long requestedNanos, Runnable finished) {
+        log.write(
+                Event.PROCESS_DRAINING,
+                "open_requests",
+                openExchanges.size(),
+                "connections",
+                callerServer.openConnections(),
+                "late_ms",
+                time.since(requestedNanos).toMillis());
+        stop.begin(this::endOpenRequests, () -> {
+            logEndOfStop();
+            finished.run();
         });
     }
 
@@ -491,7 +492,7 @@
     }
 
     private void handleReadiness(HttpRequest head, byte[] body, ResponseWriter writer) {
-        boolean ready = !stop.begun() && fleet.complete() && configValidity.validForReadiness();
+        boolean ready = !stop.requested() && fleet.complete() && configValidity.validForReadiness();
         if (ready != wasReady) {
             wasReady = ready;
             log.write(
@@ -499,7 +500,7 @@
                     "ready",
                     ready,
                     "stopping",
-                    stop.begun(),
+                    stop.requested(),
                     "config_age_ms",
                     storeFreshness.age().toMillis());
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
@@ -2,14 +2,16 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.kernel.time.TimeSource;
 
 /**
  * Stops the caller side of an entry. Callers still get new connections at first, so a request is taken if it is
- * expected to end before the process does. After that, a request is taken only if its time limit ends before. Used on
- * the event loop only.
+ * expected to end before the process does. After that, a request is taken only if its time limit ends before. All
+ * limits count from the request to stop, because the platform counts the grace period from there and the event loop may
+ * be late. Used on the event loop only, except where stated.
  */
 final class GracefulStop {
     /** Time after the request to stop for which the platform still sends new connections. */
@@ -27,17 +29,16 @@
     private final TimeSource time;
     private final HttpServer callers;
     private final Duration limit;
-    private boolean begun;
+    private volatile OptionalLong requestedNanos = OptionalLong.empty();
     private boolean ended;
-    private long beginNanos;
 
     /**
-     * Creates a stop that has not begun.
+     * Creates a stop that is not requested.
      *
      * @param loop event loop
      * @param time clock
      * @param callers server that the callers are connected to
-     * @param limit time from the begin of the stop until open requests are ended
+     * @param limit time from the request to stop until open requests are ended
      */
     GracefulStop(EventLoop loop, TimeSource time, HttpServer callers, Duration limit) {
         this.loop = loop;
@@ -46,8 +47,23 @@
         this.limit = limit;
     }
 
-    boolean begun() {
-        return begun;
+    /**
+     * Notes the request to stop, which requests that arrive from then on are checked against. May be called on any
+     * thread.
+     *
+     * @param nanos monotonic time of the request
+     * @return false if the stop was requested before
+     */
+    synchronized boolean request(long nanos) {
+        if (requestedNanos.isPresent()) {
+            return false;
+        }
+        requestedNanos = OptionalLong.of(nanos);
+        return true;
+    }
+
+    boolean requested() {
+        return requestedNanos.isPresent();
     }
 
     /**
@@ -57,17 +73,17 @@
      * @param expected expected time until the request ends
      */
     boolean admits(Duration timeLimit, Duration expected) {
-        if (!begun) {
+        if (!requested()) {
             return true;
         }
-        Duration remaining = limit.minus(time.since(beginNanos));
+        Duration remaining = limit.minus(sinceRequest());
         Duration needed = untilDeregistered().isZero() ? timeLimit : shorter(timeLimit, expected);
         return needed.compareTo(remaining) < 0;
     }
 
     /** Returns the time for which callers that open a new connection may still reach this entry. */
     Duration untilDeregistered() {
-        Duration remaining = DEREGISTRATION_DELAY.minus(time.since(beginNanos));
+        Duration remaining = DEREGISTRATION_DELAY.minus(sinceRequest());
         return remaining.isNegative() ? Duration.ZERO : remaining;
     }
 
@@ -76,17 +92,23 @@
     }
 
     /**
-     * Begins the stop.
+     * Begins the stop that was requested.
      *
      * @param endOpenRequests called at the limit to end the requests that are still open
      * @param finished called once no connection is left, or after the limit
      */
     void begin(Runnable endOpenRequests, Runnable finished) {
-        begun = true;
-        beginNanos = time.nanoTime();
         callers.drain();
-        loop.schedule(() -> awaitConnections(finished), DEREGISTRATION_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-        loop.schedule(() -> reachLimit(endOpenRequests, finished), limit.toMillis(), TimeUnit.MILLISECONDS);
+        scheduleAt(DEREGISTRATION_DELAY, () -> awaitConnections(finished));
+        scheduleAt(limit, () -> reachLimit(endOpenRequests, finished));
+    }
+
+    private void scheduleAt(Duration afterRequest, Runnable task) {
+        loop.schedule(task, afterRequest.minus(sinceRequest()).toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private Duration sinceRequest() {
+        return time.since(requestedNanos.orElseThrow());
     }
 
     /** Waits for the connections and not only for open requests, because a request may be arriving. */
--- a/gateway/src/main/java/org/masticcroft/gateway/node/Node.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/Node.java
@@ -6,9 +6,10 @@
     void start();
 
     /**
-     * Stops gracefully. A second call has no effect.
+     * Stops gracefully. A second call has no effect. May be called on any thread.
      *
+     * @param requestedNanos monotonic time of the request to stop, from which the grace period counts
      * @param finished called when no request is open any more, in time for the process to exit in the grace period
      */
-    void stop(Runnable finished);
+    void stop(long requestedNanos, Runnable finished);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public void stop(Runnable finished) {
+    public void stop(long requestedNanos, Runnable finished) {
         loop.execute(finished);
     }
 
