Read no request behind the last response on a connection

Callers saw: a request that was sent on a connection before the response with `Connection: close` had arrived was passed on, and its connection closed without a response to it.

Cause: after the last response, the connection still handled what arrived until the channel had closed: the rest of the bytes that were read together, and, while a slow caller read the response, everything that came later. During a stop all responses are the last ones.

Change: once the last response is written, or the response is broken off, nothing that arrives is handled.

ConnectionCloseTest.ARequestBehindTheLastResponse: 2 of 2 tests failed on the code before (the handler got the second request) and pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -51,7 +51,7 @@
     private final HeadTimer headTimer = new HeadTimer();
     private ConnectionWriter current;
     private long lastActiveNanos;
-    private boolean rejected;
+    private boolean closing;
 
     ServerConnection(HttpServer server) {
         this.server = server;
@@ -101,7 +101,8 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (rejected) {
+            if (closing) {
+                // No response could be sent before the connection closes.
                 return;
             }
             if (((HttpObject) message).decoderResult().isFailure()) {
@@ -198,7 +199,7 @@
 
     /** Responds to an invalid request and closes the connection, because the next request cannot be delimited. */
     private void reject(HttpResponseStatus status) {
-        rejected = true;
+        closing = true;
         head = null;
         releaseBody();
         if (current != null) {
@@ -320,6 +321,7 @@
             if (!finished) {
                 finished = true;
                 current = null;
+                closing = true;
                 context.close();
             }
         }
@@ -348,6 +350,8 @@
             current = null;
             lastActiveNanos = server.time().nanoTime();
             if (closeAfterResponse) {
+                closing = true;
+                pipelined.clear();
                 context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             } else {
                 context.writeAndFlush(last);
