Answer an open request though the one behind it is invalid

Callers saw: a request that ran lost its response because the next request on the connection, sent before that response, was malformed or too large, or was the ninth that waited.

Cause: the connection was closed at once, with the open request on it.

Change: the connection reads no further requests and closes after the last response that is due.

ConnectionCloseTest.AnOpenRequest: failed on the code before (connection closed, no byte of the response) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -175,7 +175,7 @@
             headTimer.requestEnded();
             releaseBody();
             if (pipelined.size() >= MAX_PIPELINED) {
-                context.close();
+                closing = true;
                 return;
             }
             pipelined.addLast(request);
@@ -197,13 +197,15 @@
         reject(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
     }
 
-    /** Responds to an invalid request and closes the connection, because the next request cannot be delimited. */
+    /**
+     * Responds to an invalid request and closes the connection, because the next request cannot be delimited. If an
+     * earlier request is open, the connection closes after the responses to those before it.
+     */
     private void reject(HttpResponseStatus status) {
         closing = true;
         head = null;
         releaseBody();
         if (current != null) {
-            context.close();
             return;
         }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
@@ -338,6 +340,7 @@
 
         private void setConnection(HttpHeaders headers) {
             closeAfterResponse = !keepAlive
+                    || lastOnConnection()
                     || server.draining()
                     || headers.contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
             if (closeAfterResponse) {
@@ -345,11 +348,15 @@
             }
         }
 
+        private boolean lastOnConnection() {
+            return closing && pipelined.isEmpty();
+        }
+
         private void finish(HttpObject last) {
             finished = true;
             current = null;
             lastActiveNanos = server.time().nanoTime();
-            if (closeAfterResponse) {
+            if (closeAfterResponse || lastOnConnection()) {
                 closing = true;
                 pipelined.clear();
                 context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
--- a/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -37,9 +38,16 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final Queue<String> handled = new ConcurrentLinkedQueue<>();
+    private final CountDownLatch open = new CountDownLatch(1);
+    private volatile ResponseWriter openWriter;
     private volatile byte[] content = {'o', 'k'};
     private final HttpServer server = HttpServer.of(loop, TimeSource.system(), () -> LIMITS, (head, body, writer) -> {
         handled.add(head.uri());
+        if (head.uri().equals("/open")) {
+            openWriter = writer;
+            open.countDown();
+            return;
+        }
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         if (head.uri().equals("/refused")) {
             headers.set(HttpHeaderNames.CONNECTION, "close");
@@ -85,6 +93,14 @@
         return read.toString();
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Nested
     class ARequestBehindTheLastResponse {
         /** Guards against a request that is passed on although the connection closes before its response. */
@@ -117,4 +133,26 @@
             assertThat(handled).containsExactly("/refused");
         }
     }
+
+    @Nested
+    class AnOpenRequest {
+        /** Guards against a request that runs and gets no response because the one behind it is invalid. */
+        @Test
+        void isAnsweredThoughTheNextOneIsInvalid() throws Exception {
+            try (Socket socket = connect(65_536)) {
+                socket.getOutputStream().write(request("/open"));
+                await(open);
+                socket.getOutputStream().write("invalid\r\n\r\n".getBytes(ISO_8859_1));
+                loop.schedule(
+                        () -> openWriter.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(content)),
+                        200,
+                        TimeUnit.MILLISECONDS);
+
+                assertThat(readResponse(socket, "ok"))
+                        .startsWith("HTTP/1.1 200")
+                        .containsIgnoringCase("connection: close");
+                assertThat(socket.getInputStream().read()).isNegative();
+            }
+        }
+    }
 }
