Read what has arrived before an idle connection closes

Callers saw: a request sent on a kept connection got no response, because the connection was closed as idle, although the request had arrived before the close.

Cause: the check for idle connections runs on the event loop and sees only what the loop has read. When the loop is late, a request may wait in the receive buffer of the socket. Closing the connection then resets it.

Change: the connection is read once more right before the close, and stays open if a request has begun to arrive. A request that is still on the way at the close gets no response, as before, and is not read.

ConnectionCloseTest.AnIdleConnection.staysOpenIfARequestHasArrived: failed on the code before (connection closed, no response) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -72,10 +73,27 @@
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
+    /** Closes the connection, after the bytes written to it, unless a request is open or arriving. */
     void closeIfIdle(Duration idleFor) {
-        boolean idle = !busy() && head == null && !headTimer.headBegun();
-        if (idle && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        if (idle(idleFor)) {
+            readReceivedBytes();
+            if (idle(idleFor)) {
+                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
+
+    private boolean idle(Duration idleFor) {
+        return !busy()
+                && head == null
+                && !headTimer.headBegun()
+                && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0;
+    }
+
+    /** Reads what the kernel holds, since closing a connection with unread bytes resets it. */
+    private void readReceivedBytes() {
+        if (context.channel().isActive()) {
+            ((AbstractNioChannel.NioUnsafe) context.channel().unsafe()).read();
         }
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
@@ -134,6 +134,30 @@
         }
     }
 
+    @Nested
+    class AnIdleConnection {
+        /** Guards against a request that is reset because it arrived while the event loop was late. */
+        @Test
+        void staysOpenIfARequestHasArrived() throws Exception {
+            try (Socket socket = connect(65_536)) {
+                socket.getOutputStream().write(request("/first"));
+                readResponse(socket, "ok");
+                CountDownLatch blocked = new CountDownLatch(1);
+                CountDownLatch release = new CountDownLatch(1);
+                loop.execute(() -> {
+                    blocked.countDown();
+                    await(release);
+                    server.closeIdle(Duration.ZERO);
+                });
+                blocked.await();
+                socket.getOutputStream().write(request("/next"));
+                release.countDown();
+
+                assertThat(readResponse(socket, "ok")).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+
     @Nested
     class AnOpenRequest {
         /** Guards against a request that runs and gets no response because the one behind it is invalid. */
