Count a connection as idle from the end of its response

Callers saw: a slow caller that went on as soon as it had read a response met a closed connection instead of a response.

Cause: the idle time counted from the moment at which the response was complete in the process. While the caller still read, the idle time passed, and the connection was closed at once after the last byte.

Change: a connection with unsent bytes is not idle, and its idle time begins when the last byte has been passed to the kernel.

ConnectionCloseTest.AnIdleConnection.countsAsIdleOnlyOnceItsResponseIsSent: failed on the code before (connection closed before the next request) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -73,12 +73,12 @@
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
 
-    /** Closes the connection, after the bytes written to it, unless a request is open or arriving. */
+    /** Closes the connection unless a request is open or arriving, or a response is still being sent. */
     void closeIfIdle(Duration idleFor) {
         if (idle(idleFor)) {
             readReceivedBytes();
             if (idle(idleFor)) {
-                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                context.close();
             }
         }
     }
@@ -87,6 +87,7 @@
         return !busy()
                 && head == null
                 && !headTimer.headBegun()
+                && unsentBytes() == 0
                 && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0;
     }
 
@@ -379,7 +380,8 @@
                 pipelined.clear();
                 context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             } else {
-                context.writeAndFlush(last);
+                context.writeAndFlush(last)
+                        .addListener(sent -> lastActiveNanos = server.time().nanoTime());
                 handleNext();
             }
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
@@ -83,6 +83,10 @@
         return ("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n").getBytes(ISO_8859_1);
     }
 
+    private static String readHead(Socket socket) throws IOException {
+        return readResponse(socket, "\r\n\r\n");
+    }
+
     private static String readResponse(Socket socket, String end) throws IOException {
         StringBuilder read = new StringBuilder();
         while (!read.toString().endsWith(end)) {
@@ -136,6 +140,8 @@
 
     @Nested
     class AnIdleConnection {
+        private static final Duration IDLE_BEFORE_CLOSE = Duration.ofMillis(500);
+
         /** Guards against a request that is reset because it arrived while the event loop was late. */
         @Test
         void staysOpenIfARequestHasArrived() throws Exception {
@@ -156,6 +162,24 @@
                 assertThat(readResponse(socket, "ok")).startsWith("HTTP/1.1 200");
             }
         }
+
+        /** Guards against a close at the moment when a slow caller has read its response and sends the next request. */
+        @Test
+        void countsAsIdleOnlyOnceItsResponseIsSent() throws Exception {
+            content = new byte[RESPONSE_BYTES];
+            loop.scheduleAtFixedRate(() -> server.closeIdle(IDLE_BEFORE_CLOSE), 20, 20, TimeUnit.MILLISECONDS);
+            try (Socket socket = connect(4096)) {
+                socket.getOutputStream().write(request("/first"));
+                readHead(socket);
+                TimeUnit.MILLISECONDS.sleep(2 * IDLE_BEFORE_CLOSE.toMillis());
+                assertThat(socket.getInputStream().readNBytes(RESPONSE_BYTES)).hasSize(RESPONSE_BYTES);
+                content = new byte[] {'o', 'k'};
+                TimeUnit.MILLISECONDS.sleep(IDLE_BEFORE_CLOSE.toMillis() / 10);
+                socket.getOutputStream().write(request("/next"));
+
+                assertThat(readResponse(socket, "ok")).startsWith("HTTP/1.1 200");
+            }
+        }
     }
 
     @Nested
