Let the response to a refused request arrive before the close

Callers saw: a caller that was still sending its body got a reset instead of the response 413.

Cause: the connection was closed right after the response, with bytes of the body unread. The kernel resets such a connection, and what the caller writes next fails.

Change: the connection ends its own direction after a refusal, and what the caller still sends is read and discarded for at most one second. Nothing that is read in that time is handled.

ConnectionCloseTest.ARefusedRequest: failed on the code before ("Broken pipe" while the body was sent) and passes, 20 bodies of 9.8 MB in chunks each.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -35,6 +36,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** One connection of the HTTP server. Pipelined requests are handled one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
@@ -44,6 +46,9 @@
     /** Separators of a header line. */
     private static final int HEADER_OVERHEAD_BYTES = 4;
 
+    /** Time for which the rest of a refused request is read, so that its caller gets the response. */
+    private static final long DISCARD_MILLIS = 1000;
+
     private final HttpServer server;
     private final Deque<BufferedRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -229,7 +234,16 @@
         }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(sent -> closeOnceCallerHasSent());
+    }
+
+    /**
+     * Ends the response and discards what the caller still sends until it closes the connection, since closing one with
+     * unread bytes resets it and may discard the response.
+     */
+    private void closeOnceCallerHasSent() {
+        ((DuplexChannel) context.channel()).shutdownOutput();
+        context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void releaseBody() {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/ConnectionCloseTest.java
@@ -203,4 +203,29 @@
             }
         }
     }
+
+    @Nested
+    class ARefusedRequest {
+        private static final int CHUNK_BYTES = 16_384;
+        private static final int CHUNKS = 600;
+        private static final int REPETITIONS = 20;
+
+        /** Guards against a reset, while the rest of a body arrives, that discards the response. */
+        @Test
+        void getsItsResponseThoughItsBodyIsStillBeingSent() throws Exception {
+            for (int i = 0; i < REPETITIONS; i++) {
+                try (Socket socket = connect(65_536)) {
+                    socket.getOutputStream()
+                            .write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    .getBytes(ISO_8859_1));
+                    byte[] chunk = (Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n")
+                            .getBytes(ISO_8859_1);
+                    for (int n = 0; n < CHUNKS; n++) {
+                        socket.getOutputStream().write(chunk);
+                    }
+                    assertThat(readHead(socket)).startsWith("HTTP/1.1 413");
+                }
+            }
+        }
+    }
 }
