Keep a stalled stream until another upstream has continued it

Callers lost streams whose upstream was sound but silent for about two seconds: the entry sent the stream to another upstream, which refused it, answered with an error or without events, closed the connection or stayed silent. The first upstream would have gone on.

Cause: the attempt at the first upstream was cancelled before the request was sent to the other one, so nothing was left to go on with.

The stalled attempt at a stream now stays open beside the new one. The first of the two that has a next event is chosen, and the other one is cancelled. If the new attempt fails, the stalled one is the current one again and may be replaced once more, within the same limits. A stalled attempt that has not begun is withdrawn like any other for outdated weights or a quarantined part. Each attempt has its own reader, because both may be in the middle of an event; EventReader.resume() is gone, and its two tests read on with a new reader after the last event.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/EventReader.java
@@ -65,14 +65,6 @@
         return length > 0;
     }
 
-    /** Prepares for the response of another upstream, which resumes the stream after the last event. */
-    void resume() {
-        length = 0;
-        gap = false;
-        invalid = false;
-        eventsWithoutId = 0;
-    }
-
     /**
      * Adds received bytes and returns the events that they complete; empty if there are none. Nothing is returned from
      * a gap or invalid bytes on.
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -8,11 +8,14 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.masticcroft.gateway.config.Customer;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.RouteKind;
@@ -60,11 +63,15 @@
     private final long deadlineNanos;
     private final Set<String> triedUpstreams = new HashSet<>();
     private final Future<?> deadlineTimer;
-    private final EventReader events;
     private final AttemptHistory history = new AttemptHistory();
     private final ResponseDigest digest = new ResponseDigest();
 
     private UpstreamAttempt attempt;
+
+    /** An earlier attempt at a stream, which stalled and goes on until the current one has continued the stream. */
+    private UpstreamAttempt stalledAttempt;
+
+    private long lastEventId;
     private int attempts;
     private int possibleRuns;
     private boolean mayHaveRun;
@@ -93,7 +100,7 @@
         this.deadlineNanos = arrivalNanos + timeout.toNanos();
         this.waitingSinceNanos =
                 arrivalNanos - context.priorWait(route, request).toNanos();
-        this.events = EventReader.after(request.resumeAfter().orElse(0));
+        this.lastEventId = request.resumeAfter().orElse(0);
         this.deadlineTimer = context.loop().schedule(this::onDeadline, timeout.toNanos(), TimeUnit.NANOSECONDS);
     }
 
@@ -235,8 +242,8 @@
 
     /** Withdraws the request from an upstream that has not begun it, if a part of its prompt is quarantined now. */
     public void checkQuarantine() {
-        if (!closed && attempt != null && !attempt.begun() && !onTrial && context.quarantined(request)) {
-            attempt.withdraw("quarantined-part");
+        if (!onTrial && context.quarantined(request)) {
+            openAttempts().stream().filter(open -> !open.begun()).forEach(open -> open.withdraw("quarantined-part"));
         }
     }
 
@@ -246,8 +253,8 @@
     }
 
     /**
-     * Queues a repeatable request whose attempt has stalled for another upstream. The attempt goes on until then,
-     * because its upstream may only be slow.
+     * Queues a repeatable request whose attempt has stalled for another upstream. The attempt goes on, because its
+     * upstream may only be slow.
      */
     public void checkStall(long nowNanos) {
         if (closed || attempt == null || !route.repeatable()) {
@@ -269,12 +276,58 @@
     private void replaceStalledAttempt(Choice choice) {
         awaitingReplacement = false;
         if (replaceable(context.time().nanoTime()) && context.admit(request) && context.tryRetry(service)) {
-            attempt.abandon();
-            events.resume();
+            if (isStream() && attempt.sent()) {
+                cancelStalledAttempt();
+                stalledAttempt = attempt;
+                attempt.recordStall();
+            } else {
+                attempt.abandon();
+            }
             send(choice);
         }
     }
 
+    /** Records that the open attempt has stalled; it may have run, and goes on. */
+    void recordStalledAttempt(Upstream upstream, String reason) {
+        attempt = null;
+        possibleRuns++;
+        mayHaveRun = true;
+        history.stall(Verdict.MAY_HAVE_RUN, reason);
+        logFailedAttempt(upstream, Verdict.MAY_HAVE_RUN, reason);
+    }
+
+    boolean hasStalledAttempt() {
+        return stalledAttempt != null;
+    }
+
+    /** Has an attempt go on with the stream, and cancels the other one. */
+    void choose(UpstreamAttempt chosen) {
+        if (chosen != stalledAttempt) {
+            cancelStalledAttempt();
+            return;
+        }
+        boolean sent = attempt.sent();
+        cancelAttempt(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "other-upstream-went-on");
+        if (sent) {
+            possibleRuns++;
+        }
+        resumeStalledAttempt();
+    }
+
+    private void resumeStalledAttempt() {
+        attempt = stalledAttempt;
+        stalledAttempt = null;
+        possibleRuns--;
+        history.resumeStalled();
+    }
+
+    private void cancelStalledAttempt() {
+        if (stalledAttempt != null) {
+            stalledAttempt.cancel();
+            stalledAttempt = null;
+        }
+    }
+
     private void cancelReplacement() {
         if (awaitingReplacement) {
             awaitingReplacement = false;
@@ -287,18 +340,25 @@
      * it to another one if it may be repeated.
      */
     public void checkWeightsVersion() {
-        if (closed
-                || attempt == null
-                || attempt.begun()
-                || attempt.weightsVersion().isEmpty()) {
-            return;
-        }
-        OptionalLong oldest = context.oldestVersionToAwait(attempt.upstream());
-        if (oldest.isPresent() && attempt.weightsVersion().getAsLong() < oldest.getAsLong()) {
-            attempt.withdraw("weights-outdated");
+        openAttempts().stream()
+                .filter(open -> !open.begun() && open.weightsVersion().isPresent())
+                .forEach(this::checkWeightsVersion);
+    }
+
+    private void checkWeightsVersion(UpstreamAttempt open) {
+        OptionalLong oldest = context.oldestVersionToAwait(open.upstream());
+        if (oldest.isPresent() && open.weightsVersion().getAsLong() < oldest.getAsLong()) {
+            open.withdraw("weights-outdated");
         }
     }
 
+    /** Returns the attempts that may still answer the request; the stalled one first, as it only backs the other. */
+    private List<UpstreamAttempt> openAttempts() {
+        return closed
+                ? List.of()
+                : Stream.of(stalledAttempt, attempt).filter(Objects::nonNull).toList();
+    }
+
     public String service() {
         return service;
     }
@@ -316,8 +376,15 @@
         return responseStarted;
     }
 
-    EventReader events() {
-        return events;
+    /** Returns the id of the last event that was forwarded; 0 if there was none. */
+    long lastEventId() {
+        return lastEventId;
+    }
+
+    /** Records a new event of an attempt, which is about to be forwarded. */
+    void onEvent(UpstreamAttempt source, long eventId) {
+        choose(source);
+        lastEventId = eventId;
     }
 
     /** Returns whether events of a response with the given media type may be forwarded. */
@@ -356,23 +423,30 @@
     }
 
     /**
-     * Retries the request after a failed attempt, or fails it.
+     * Goes on with the attempt that stalled before, retries the request after a failed attempt, or fails it.
      *
-     * @param upstream upstream of the attempt
+     * @param failed the attempt
      * @param verdict whether the upstream may have run the request
      * @param reason reason of the failure, for the log
      * @param upstreamFull whether the upstream refused the request because it is full
      */
-    void onAttemptFailed(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
-        recordFailedAttempt(upstream, verdict, reason, upstreamFull);
-        if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
+    void onAttemptFailed(UpstreamAttempt failed, Verdict verdict, String reason, boolean upstreamFull) {
+        if (failed == stalledAttempt) {
+            stalledAttempt = null;
+            return;
+        }
+        recordFailedAttempt(failed.upstream(), verdict, reason, upstreamFull);
+        if (stalledAttempt != null) {
+            resumeStalledAttempt();
+            checkStall(context.time().nanoTime());
+        } else if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
             context.loop().schedule(() -> retryOnceCleared(reason), EVIDENCE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
         } else {
             retryOrFail(mayRetry(verdict), reason);
         }
     }
 
-    /** Records a failed attempt with the parameters of {@link #onAttemptFailed}. */
+    /** Records a failed attempt, with the other parameters of {@link #onAttemptFailed}. */
     void recordFailedAttempt(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
         long now = context.time().nanoTime();
         cancelReplacement();
@@ -384,6 +458,10 @@
             possibleRuns++;
             mayHaveRun = true;
         }
+        logFailedAttempt(upstream, verdict, reason);
+    }
+
+    private void logFailedAttempt(Upstream upstream, Verdict verdict, String reason) {
         context.log()
                 .write(
                         Event.ATTEMPT_FAILED,
@@ -398,7 +476,7 @@
                         "reason",
                         reason,
                         "last_event",
-                        events.lastEventId(),
+                        lastEventId,
                         "failure_share",
                         Math.round(100 * upstream.failureShare()) / 100.0);
     }
@@ -413,7 +491,6 @@
     private void retryOrFail(boolean retry, String reason) {
         mayHaveCrashedUpstream = false;
         if (retry && context.tryRetry(service)) {
-            events.resume();
             context.enqueue(this, service);
         } else {
             fail(reason);
@@ -508,6 +585,7 @@
     private void close() {
         closed = true;
         cancelReplacement();
+        cancelStalledAttempt();
         deadlineTimer.cancel(false);
     }
 
@@ -525,8 +603,7 @@
     private Forwarding forwarding(Upstream upstream, long now) {
         Optional<Duration> remaining = Optional.of(Duration.ofNanos(Math.max(1_000_000, deadlineNanos - now)));
         OptionalInt urgency = isStream() ? OptionalInt.of(rank().urgency()) : OptionalInt.empty();
-        OptionalLong resumeAfter =
-                events.lastEventId() > 0 ? OptionalLong.of(events.lastEventId()) : OptionalLong.empty();
+        OptionalLong resumeAfter = lastEventId > 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty();
         return new Forwarding(
                 upstream.id(),
                 remaining,
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -36,6 +36,7 @@
     private HttpHeaders headers;
     private Optional<String> mediaType = Optional.empty();
     private final ResponseMemory.Buffer body;
+    private final EventReader events;
     private boolean contentReceived;
     private boolean firstByteReceived;
     private boolean eventReceived;
@@ -50,6 +51,7 @@
         this.weightsVersion = upstream.servedVersion();
         this.lastProgressNanos = startNanos;
         this.body = context.responseMemory().newBuffer(this::failMalformed);
+        this.events = EventReader.after(exchange.lastEventId());
     }
 
     static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
@@ -109,6 +111,12 @@
         exchange.recordFailedAttempt(upstream, failure.verdict(), reason(failure), false);
     }
 
+    /** Records that the upstream has stalled, without ending the attempt. */
+    void recordStall() {
+        recordFailure(CallFailure.TIMED_OUT);
+        exchange.recordStalledAttempt(upstream, reason(CallFailure.TIMED_OUT));
+    }
+
     /** Returns whether the upstream has begun to answer the request, with weights that no later version replaces. */
     boolean begun() {
         return contentReceived;
@@ -171,19 +179,20 @@
             addToBody(content);
             return;
         }
-        long lastEventId = exchange.events().lastEventId();
-        ByteBuf completeEvents = exchange.events().read(content);
-        if (exchange.events().lastEventId() > lastEventId) {
+        long lastEventId = events.lastEventId();
+        ByteBuf completeEvents = events.read(content);
+        if (events.lastEventId() > lastEventId) {
             eventReceived = true;
             recordProgress();
+            exchange.onEvent(this, events.lastEventId());
         }
         if (completeEvents.isReadable()) {
             forward(completeEvents);
         }
-        if (exchange.events().hasGap()) {
+        if (events.hasGap()) {
             call.cancel();
             fail(Verdict.MAY_HAVE_RUN, "event-missing");
-        } else if (exchange.events().invalid()) {
+        } else if (events.invalid()) {
             failMalformed();
         }
     }
@@ -264,6 +273,7 @@
         recordFirstByte();
         upstream.recordAcceptance();
         if (!exchange.responseStarted()) {
+            exchange.choose(this);
             exchange.startResponse(head.status(), headers, mediaType);
         }
         exchange.forwardChunk(completeEvents);
@@ -290,7 +300,7 @@
 
     private void handleStreamEnd() {
         // A response without a new event does not show that the stream was complete where an earlier one broke off.
-        if (exchange.events().hasPartial() || !eventReceived) {
+        if (events.hasPartial() || !eventReceived) {
             upstream.recordFailure(context.time().nanoTime());
             if (!responseBegun()) {
                 // The end of the connection ends a response without a length, also when the upstream has crashed.
@@ -301,6 +311,7 @@
         }
         upstream.recordSuccess(context.time().nanoTime());
         close();
+        exchange.choose(this);
         exchange.endResponse();
     }
 
@@ -316,6 +327,7 @@
         upstream.recordFailure(context.time().nanoTime());
         boolean unsigned = head.status() / 100 == 2;
         if (exchange.responseStarted()
+                || exchange.hasStalledAttempt()
                 || unsigned
                 || impliesNotRun(head.status())
                 || (head.status() >= 500 && exchange.canRetryElsewhere())) {
@@ -345,7 +357,7 @@
 
     private void fail(Verdict verdict, String reason, boolean upstreamFull) {
         close();
-        exchange.onAttemptFailed(upstream, verdict, reason, upstreamFull);
+        exchange.onAttemptFailed(this, verdict, reason, upstreamFull);
     }
 
     private void recordByte() {
--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/EventReaderTest.java
@@ -46,7 +46,7 @@
         void dropsEventsThatTheCallerHas() {
             EventReader reader = EventReader.after(0);
             read(reader, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-            reader.resume();
+            reader = EventReader.after(reader.lastEventId());
             assertThat(read(reader, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
             assertThat(reader.hasGap()).isFalse();
         }
@@ -75,7 +75,7 @@
         void isReadAfterAFaultInTheEarlierResponse(String fault) {
             EventReader reader = EventReader.after(0);
             read(reader, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" + fault);
-            reader.resume();
+            reader = EventReader.after(reader.lastEventId());
             assertThat(read(reader, "id: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
             assertThat(reader.hasGap()).isFalse();
             assertThat(reader.invalid()).isFalse();
