Dispatch others while a retry waits for another upstream

What callers saw: requests waited although an upstream had room, behind a retry that may not go to that upstream. Cause: the queue stopped at the first request, in order of priority, for which no upstream had room; but a retry excludes the upstreams that it has tried. Change: a retry without room is passed over, and does not keep a new request from an upstream with room. Result: ServiceQueueTest dispatchesOthersToTheUpstreamThatARetryHasTried failed on the code before and passes with the 25 others.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
@@ -79,7 +81,8 @@
         if (!request.alreadySent() && !isLate(request, now)) {
             estimate.recordArrival(request.rank(), now);
         }
-        if (waiting.stream().noneMatch(other -> priority(other, now) <= priority)) {
+        // Requests that were sent before wait only for the upstreams that they have not tried.
+        if (waiting.stream().noneMatch(other -> !other.alreadySent() && priority(other, now) <= priority)) {
             Optional<QueuedRequest.Choice> choice =
                     chooser.choose(request, table.ofService(service), profile, limit, now);
             if (choice.isPresent()) {
@@ -136,14 +139,21 @@
             refuseAll();
             return;
         }
-        while (!waiting.isEmpty()) {
-            QueuedRequest first = first(now);
-            Optional<QueuedRequest.Choice> choice = chooser.choose(first, upstreams, profile, limit, now);
-            if (choice.isEmpty()) {
+        Set<QueuedRequest> withoutRoom = new HashSet<>();
+        Optional<QueuedRequest> next = first(now, withoutRoom);
+        while (next.isPresent()) {
+            QueuedRequest request = next.get();
+            Optional<QueuedRequest.Choice> choice = chooser.choose(request, upstreams, profile, limit, now);
+            if (choice.isPresent()) {
+                waiting.remove(request);
+                dispatch(request, choice.get());
+            } else if (request.alreadySent()) {
+                // The upstreams that it has tried may have room for others.
+                withoutRoom.add(request);
+            } else {
                 break;
             }
-            waiting.remove(first);
-            dispatch(first, choice.get());
+            next = first(now, withoutRoom);
         }
         refuseExpiring(now);
     }
@@ -169,17 +179,17 @@
         return nowNanos - request.waitingSinceNanos() > request.target().toNanos();
     }
 
-    private QueuedRequest first(long now) {
-        QueuedRequest best = waiting.get(0);
-        double bestPriority = priority(best, now);
+    private Optional<QueuedRequest> first(long now, Set<QueuedRequest> excluded) {
+        QueuedRequest best = null;
+        double bestPriority = Double.POSITIVE_INFINITY;
         for (QueuedRequest request : waiting) {
             double priority = priority(request, now);
-            if (priority < bestPriority) {
+            if (priority < bestPriority && !excluded.contains(request)) {
                 best = request;
                 bestPriority = priority;
             }
         }
-        return best;
+        return Optional.ofNullable(best);
     }
 
     private void dispatch(QueuedRequest request, QueuedRequest.Choice choice) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -132,6 +132,26 @@
             assertThat(fresh.choice).isEmpty();
         }
 
+        // Guards against requests that wait behind a retry whose upstream is the only one with room.
+        @Test
+        void dispatchesOthersToTheUpstreamThatARetryHasTried() {
+            list("tried", "10.0.0.1", "z1", 1, false);
+            FakeRequest open = add("open", 2);
+            while (add("filling", 2).choice.isPresent()) {
+                // The upstream has room for more.
+            }
+            FakeRequest retry = request("retry", new Rank(1, 2));
+            retry.alreadySent = true;
+            retry.triedUpstreams().add("tried");
+            add(retry, OptionalLong.empty());
+            FakeRequest urgent = add("urgent", 1);
+            assertThat(urgent.choice).isEmpty();
+
+            complete(open);
+            assertThat(retry.choice).isEmpty();
+            assertThat(urgent.choice).isPresent();
+        }
+
         // Guards against a backlog of late requests that makes the requests behind it late as well.
         @Test
         void dispatchesARequestOnTimeBeforeALateOneOfAMoreUrgentRank() {
