Count the time before the first token once in the expected time of a response

Cause: the expected time of a stream was the mean time per token of whole responses, which holds the wait and the time before the first token. Short responses made long ones look several times too long, and a stopping entry refused streams that it could finish. Change: the time until the response begins and the time for each token are learned apart, the latter as a ratio of means.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -80,6 +80,7 @@
     private boolean awaitingReplacement;
     private boolean responseStarted;
     private Duration timeToFirstByte = Duration.ZERO;
+    private Duration arrivalToFirstByte = Duration.ZERO;
     private Optional<String> responseMediaType = Optional.empty();
     private boolean closed;
 
@@ -372,6 +373,11 @@
         return timeToFirstByte;
     }
 
+    /** Returns the time from the arrival to the first byte of a streamed response; zero if there was none. */
+    public Duration arrivalToFirstByte() {
+        return arrivalToFirstByte;
+    }
+
     boolean responseStarted() {
         return responseStarted;
     }
@@ -395,6 +401,7 @@
     void startResponse(int status, HttpHeaders headers, Optional<String> mediaType) {
         responseStarted = true;
         timeToFirstByte = attempt.age();
+        arrivalToFirstByte = context.time().since(arrivalNanos);
         responseMediaType = mediaType;
         context.onFirstByte(this, timeToFirstByte);
         writer.start(status, headers);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -468,7 +468,11 @@
             suspects.recordResponse(exchange.request().fingerprint());
         }
         if (end.status() / 100 == 2) {
-            responseTimes.record(exchange.route(), exchange.request(), time.since(exchange.arrivalNanos()));
+            responseTimes.record(
+                    exchange.route(),
+                    exchange.request(),
+                    exchange.arrivalToFirstByte(),
+                    time.since(exchange.arrivalNanos()));
         }
         recorder.ended(exchange, end);
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/ResponseTimesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/ResponseTimesTest.java
@@ -62,15 +62,25 @@
         /** Guards against a long stream that is taken for a short one. */
         @Test
         void growsWithTheTokens() {
-            times.record(route("r"), generation(50), Duration.ofMillis(500));
+            times.record(route("r"), generation(50), Duration.ZERO, Duration.ofMillis(500));
 
             assertThat(times.expected(route("r"), generation(200))).isEqualTo(Duration.ofSeconds(2));
         }
 
+        /** Guards against the refusal of a long stream because of the time before the first token of short ones. */
+        @Test
+        void countsTheTimeBeforeTheFirstTokenOnce() {
+            Duration begin = Duration.ofMillis(400);
+            times.record(route("r"), generation(10), begin, begin.plusMillis(50));
+            times.record(route("r"), generation(20), begin, begin.plusMillis(100));
+
+            assertThat(times.expected(route("r"), generation(400))).isEqualTo(begin.plusSeconds(2));
+        }
+
         /** Guards against the times of one route in the decisions on another. */
         @Test
         void isThatOfTheRoute() {
-            times.record(route("slow"), generation(50), Duration.ofSeconds(5));
+            times.record(route("slow"), generation(50), Duration.ZERO, Duration.ofSeconds(5));
 
             assertThat(times.expected(route("fast"), generation(50))).isZero();
         }
@@ -78,8 +88,8 @@
         /** Guards against a division by zero for requests that state no tokens. */
         @Test
         void isTheMeanOfRequestsWithoutTokens() {
-            times.record(route("r"), request(Optional.empty()), Duration.ofMillis(100));
-            times.record(route("r"), generation(0), Duration.ofMillis(200));
+            times.record(route("r"), request(Optional.empty()), Duration.ZERO, Duration.ofMillis(100));
+            times.record(route("r"), generation(0), Duration.ZERO, Duration.ofMillis(200));
 
             assertThat(times.expected(route("r"), request(Optional.empty()))).isEqualTo(Duration.ofMillis(110));
         }
