Send complete responses to slow callers after the limit of a stop

Callers saw: a response that was complete in the entry lost its end at the exit, because the caller did not read while the entry stopped, though the grace period was not over when it read on.

Cause: the process ended 0.1 s after the limit without regard to bytes that it had not passed to the kernel yet.

Change: while such bytes are left, the exit waits for up to 0.4 s more, or a fifteenth of the limit if that is less, so that the account and the log still have their time.

GracefulStopTest.ACompleteResponse.isSentIfTheCallerReadsRightAfterTheLimit: failed on the code before (6,000,096 unsent bytes at the end of the stop) and passes. The two other tests guard against an exit that comes too early or too late; they passed before as well.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/GracefulStop.java
@@ -25,6 +25,12 @@
     /** Time for which the last bytes of the responses leave the machine before the process ends. */
     private static final long FLUSH_MILLIS = 100;
 
+    /** Longest time after the limit for which complete responses are still sent to callers that read slowly. */
+    private static final Duration MAX_SEND = Duration.ofMillis(400);
+
+    /** Fraction of the limit that bounds this time too, since a short grace period leaves less after the limit. */
+    private static final int MAX_SEND_DIVISOR = 15;
+
     private final EventLoop loop;
     private final TimeSource time;
     private final HttpServer callers;
@@ -125,7 +131,17 @@
     private void reachLimit(Runnable endOpenRequests, Runnable finished) {
         if (!ended) {
             endOpenRequests.run();
+            awaitUnsentBytes(finished);
+        }
+    }
+
+    /** Waits for bytes that callers have not taken yet, since the exit discards what is not passed to the kernel. */
+    private void awaitUnsentBytes(Runnable finished) {
+        Duration maxSend = shorter(MAX_SEND, limit.dividedBy(MAX_SEND_DIVISOR));
+        if (callers.unsentBytes() == 0 || sinceRequest().compareTo(limit.plus(maxSend)) >= 0) {
             end(finished);
+        } else if (!ended) {
+            loop.schedule(() -> awaitUnsentBytes(finished), CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
