Keep room that a waiting retry can use from new requests

Cause: since retries without room are passed over, a new request could take room that had just become free before the queue had offered it to a retry. Change: a new request is sent at once only if no waiting retry of its priority or a higher one has room itself. Result: ServiceQueueTest keepsTheRoomThatARetryCanUseFromNewRequests passes; it was not run on the code before. Found by reading in the review.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -81,10 +81,14 @@
         if (!request.alreadySent() && !isLate(request, now)) {
             estimate.recordArrival(request.rank(), now);
         }
-        // Requests that were sent before wait only for the upstreams that they have not tried.
-        if (waiting.stream().noneMatch(other -> !other.alreadySent() && priority(other, now) <= priority)) {
-            Optional<QueuedRequest.Choice> choice =
-                    chooser.choose(request, table.ofService(service), profile, limit, now);
+        List<Upstream> upstreams = table.ofService(service);
+        // A request that was sent before waits only for the upstreams that it has not tried.
+        boolean isNext = waiting.stream()
+                .filter(other -> priority(other, now) <= priority)
+                .allMatch(other -> other.alreadySent()
+                        && chooser.choose(other, upstreams, profile, limit, now).isEmpty());
+        if (isNext) {
+            Optional<QueuedRequest.Choice> choice = chooser.choose(request, upstreams, profile, limit, now);
             if (choice.isPresent()) {
                 dispatch(request, choice.get());
                 return;
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -152,6 +152,26 @@
             assertThat(urgent.choice).isPresent();
         }
 
+        // Guards against a new request that takes the room which a retry is about to get.
+        @Test
+        void keepsTheRoomThatARetryCanUseFromNewRequests() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            FakeRequest open = add("open", 2);
+            while (add("filling", 2).choice.isPresent()) {
+                // The upstream has room for more.
+            }
+            FakeRequest retry = request("retry", new Rank(1, 2));
+            retry.alreadySent = true;
+            add(retry, OptionalLong.empty());
+            Upstream upstream = open.choice.orElseThrow().upstream();
+            upstream.recordFirstByte(open.promptTokens(), open.waitingSinceNanos(), time.nanoTime());
+            upstream.recordEnd();
+
+            assertThat(add("new", 0).choice).isEmpty();
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
+            assertThat(retry.choice).isPresent();
+        }
+
         // Guards against a backlog of late requests that makes the requests behind it late as well.
         @Test
         void dispatchesARequestOnTimeBeforeALateOneOfAMoreUrgentRank() {
