Ask the queue at longer intervals to replace a stalled attempt

Cause: the queue refuses to replace an attempt once its first byte is overdue, and was asked again at each check, every 100 ms, with a log line each time. A request with a quarantined part was queued as well, though it is never sent again. Change: after a refusal the request waits 500 ms before it is queued again, and not at all while it is quarantined. Result: BrokenStreamTest, ServiceQueueTest, CrashingPromptPartTest and GracefulStopTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -49,6 +49,9 @@
      */
     private static final Duration EVIDENCE_WAIT = Duration.ofMillis(300);
 
+    /** Time after the queue has refused to replace a stalled attempt until it is asked again. */
+    private static final Duration REPLACEMENT_PAUSE = Duration.ofMillis(500);
+
     /** Time before the deadline by which a stream must start; on a loaded engine half of the streams take longer. */
     private static final Duration MIN_STREAM_TIME = Duration.ofMillis(1500);
 
@@ -78,6 +81,7 @@
     private boolean mayHaveCrashedUpstream;
     private boolean onTrial;
     private boolean awaitingReplacement;
+    private long replacementRefusedNanos;
     private boolean responseStarted;
     private Duration timeToFirstByte = Duration.ZERO;
     private Duration arrivalToFirstByte = Duration.ZERO;
@@ -102,6 +106,7 @@
         this.waitingSinceNanos =
                 arrivalNanos - context.priorWait(route, request).toNanos();
         this.lastEventId = request.resumeAfter().orElse(0);
+        this.replacementRefusedNanos = arrivalNanos - REPLACEMENT_PAUSE.toNanos();
         this.deadlineTimer = context.loop().schedule(this::onDeadline, timeout.toNanos(), TimeUnit.NANOSECONDS);
     }
 
@@ -234,6 +239,7 @@
     public void refuse(Refusal refusal) {
         if (awaitingReplacement) {
             awaitingReplacement = false;
+            replacementRefusedNanos = context.time().nanoTime();
         } else if (responseStarted || mayHaveRun) {
             fail(refusal.reason());
         } else {
@@ -263,14 +269,16 @@
         }
         if (!replaceable(nowNanos)) {
             cancelReplacement();
-        } else if (!awaitingReplacement) {
+        } else if (!awaitingReplacement && nowNanos - replacementRefusedNanos >= REPLACEMENT_PAUSE.toNanos()) {
             awaitingReplacement = true;
             context.enqueue(this, service);
         }
     }
 
     private boolean replaceable(long nowNanos) {
-        return StallDetector.isStalled(route, attempt, nowNanos) && canRetryElsewhere();
+        return StallDetector.isStalled(route, attempt, nowNanos)
+                && canRetryElsewhere()
+                && !context.quarantined(request);
     }
 
     /** Sends the request to another upstream, unless the attempt has made progress while the request was queued. */
