--- a/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/log/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.masticcroft.gateway.log;
 
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -88,10 +89,20 @@
 
     @Override
     public void close() {
+        close(Duration.ofMillis(CLOSE_TIMEOUT_MILLIS));
+    }
+
+    /**
+     * Writes the last lines and closes the log.
+     *
+     * @param timeout longest time to wait for the lines, because the output may be blocked
+     */
+    public void close(Duration timeout) {
         closed = true;
         writer.interrupt();
         try {
-            writer.join(CLOSE_TIMEOUT_MILLIS);
+            // A timeout of zero would wait without end.
+            writer.join(Math.max(1, timeout.toMillis()));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
