--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
@@ -0,0 +1,173 @@
+package org.masticcroft.gateway.loop;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.Objects;
+import org.masticcroft.kernel.time.TimeSource;
+
+/**
+ * Notes when an event loop selects its input, which bounds the time for which an input has waited: whatever it handles
+ * now was not there at the selection before. Used on that event loop only.
+ */
+public final class InputTimes {
+    /** Time by which a selection may return after it was due, before the process counts as paused. */
+    private static final Duration WAKEUP_DELAY = Duration.ofMillis(20);
+
+    /** Shortest time of a selection that had to wait for its input. */
+    private static final Duration BLOCKED = Duration.ofMillis(1);
+
+    private final TimeSource time;
+    private long selectedNanos;
+    private long earliestArrivalNanos;
+    private Duration longestWait = Duration.ZERO;
+
+    private InputTimes(TimeSource time) {
+        this.time = time;
+        this.selectedNanos = time.nanoTime();
+        this.earliestArrivalNanos = selectedNanos;
+    }
+
+    /** Creates the times of an event loop that has not selected any input yet. */
+    public static InputTimes of(TimeSource time) {
+        return new InputTimes(Objects.requireNonNull(time, "time"));
+    }
+
+    /** Returns the factory of the I/O handler of the event loop, which must have one thread. */
+    public IoHandlerFactory ioHandlerFactory() {
+        IoHandlerFactory nio = NioIoHandler.newFactory();
+        return executor -> new NotingHandler(nio.newHandler(executor));
+    }
+
+    /** Returns the monotonic time in nanoseconds before which no input that is handled now has arrived. */
+    public long earliestArrivalNanos() {
+        return earliestArrivalNanos;
+    }
+
+    /** Returns the longest time for which an input that is handled now may have waited. */
+    public Duration longestWait() {
+        return time.since(earliestArrivalNanos);
+    }
+
+    /** Returns the longest time from the earliest arrival of an input to the end of its turn since the last call. */
+    Duration takeLongestWait() {
+        Duration taken = longestWait;
+        longestWait = Duration.ZERO;
+        return taken;
+    }
+
+    /**
+     * Notes a selection.
+     *
+     * @param begunNanos when it began
+     * @param dueNanos latest time at which it was to return
+     */
+    void selected(long begunNanos, long dueNanos) {
+        long now = time.nanoTime();
+        if (now - begunNanos < BLOCKED.toNanos()) {
+            earliestArrivalNanos = selectedNanos;
+        } else if (now - dueNanos > WAKEUP_DELAY.toNanos()) {
+            earliestArrivalNanos = begunNanos;
+        } else {
+            // The selection returned with its first input.
+            earliestArrivalNanos = now;
+        }
+        selectedNanos = now;
+    }
+
+    /** Notes the end of the turn in which the input of a selection was handled. */
+    void handled() {
+        Duration wait = longestWait();
+        longestWait = wait.compareTo(longestWait) > 0 ? wait : longestWait;
+    }
+
+    /** Handles I/O as the given handler does, and notes the selections. */
+    private final class NotingHandler implements IoHandler {
+        private final IoHandler handler;
+
+        private NotingHandler(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public int run(IoHandlerContext context) {
+            int inputs = handler.run(new NotingContext(context));
+            if (inputs > 0) {
+                handled();
+            }
+            return inputs;
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return handler.isCompatible(handleType);
+        }
+    }
+
+    /** Context of one run of the handler, which asks for the active time right after the selection. */
+    private final class NotingContext implements IoHandlerContext {
+        private final IoHandlerContext context;
+        private final long begunNanos = time.nanoTime();
+        private final long dueNanos;
+
+        private NotingContext(IoHandlerContext context) {
+            this.context = context;
+            this.dueNanos = context.canBlock() ? begunNanos + context.delayNanos(begunNanos) : begunNanos;
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            selected(begunNanos, dueNanos);
+            return context.shouldReportActiveIoTime();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return context.delayNanos(currentTimeNanos);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -45,6 +45,7 @@
 import org.masticcroft.gateway.http.ResponseWriter;
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
 import org.masticcroft.gateway.metrics.ProcessMetrics;
 import org.masticcroft.gateway.metrics.RequestMetrics;
@@ -97,6 +98,7 @@
     private final DecisionLog log;
     private final PooledHttpClient httpClient;
     private final ProcessMetrics metrics;
+    private final LateInputReport lateInputs;
     private final RequestRecorder recorder;
     private final FleetDatagrams datagrams;
     private final UpstreamTable upstreams;
@@ -134,6 +136,7 @@
         this.httpClient = dependencies.httpClient();
         this.random = dependencies.random();
         this.metrics = ProcessMetrics.empty();
+        this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
         this.upstreams = UpstreamTable.of(log);
         this.namedVersions = NamedVersions.empty(time);
         this.storeFreshness = StoreFreshness.unconfirmed(time);
@@ -186,6 +189,8 @@
                 .schedule(loop, QUEUE_INTERVAL_MILLIS, QUEUE_INTERVAL_MILLIS);
         RepeatingTask.of("liveness", this::checkLiveness, log)
                 .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
+        RepeatingTask.of("late-inputs", lateInputs::write, log)
+                .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
         RepeatingTask.of("subscriptions", datagrams::subscribe, log)
                 .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
         RepeatingTask.of("crash-evidence", datagrams::sendEvidence, log)
@@ -207,6 +212,7 @@
                 Series.of("masticcroft_config_age_ms"),
                 () -> storeFreshness.age().toMillis());
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        lateInputs.expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeDependencies.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeDependencies.java
@@ -7,6 +7,7 @@
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.PooledHttpClient;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputTimes;
 import org.masticcroft.kernel.time.TimeSource;
 
 /**
@@ -14,6 +15,7 @@
  *
  * @param time time source
  * @param loop event loop on which the node runs
+ * @param inputs times at which the event loop selects its input
  * @param random random number generator
  * @param log decision log
  * @param httpClient HTTP client for calls to the store, upstreams and other machines
@@ -24,6 +26,7 @@
 public record NodeDependencies(
         TimeSource time,
         EventLoop loop,
+        InputTimes inputs,
         Random random,
         DecisionLog log,
         PooledHttpClient httpClient,
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -28,6 +28,7 @@
 import org.masticcroft.gateway.http.ResponseWriter;
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
 import org.masticcroft.gateway.metrics.ProcessMetrics;
 import org.masticcroft.gateway.metrics.Series;
@@ -90,6 +91,7 @@
     private final DatagramPort datagrams;
     private final HttpServer peerServer;
     private final ProcessMetrics metrics;
+    private final LateInputReport lateInputs;
     private final WeightsUpdater updater;
     private final String service;
     private final Map<Address, Long> subscribers = new HashMap<>();
@@ -122,6 +124,7 @@
         this.datagrams = DatagramPort.of(loop, log);
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
+        this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
         this.updater = WeightsUpdater.of(settings, dependencies, engine, sources, metrics, this::announceManifest);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::servePeer);
     }
@@ -150,11 +153,14 @@
         peerServer.listen(settings.peerAddress());
         metrics.gauge(Series.of("masticcroft_entries_subscribed"), subscribers::size);
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        lateInputs.expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
 
         loop.execute(this::readOperatorDirectory);
         RepeatingTask.of("engine-report", this::readEngineReport, log)
                 .schedule(loop, ENGINE_REPORT_INTERVAL_MILLIS, ENGINE_REPORT_INTERVAL_MILLIS);
+        RepeatingTask.of("late-inputs", lateInputs::write, log)
+                .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
     }
 
     @Override
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -9,6 +9,7 @@
     READINESS_CHANGED(1004, "The entry asks for new connections, or no longer does; the reasons are given."),
     MACHINE_SUSPENDED(1005, "The wall clock ran ahead of the monotonic clock; what was confirmed before is void."),
     LOG_LINES_DROPPED(1006, "Log lines did not fit into the queue of the log; their number is given."),
+    INPUT_LATE(1007, "The event loop handled input late; the longest wait since the last report is given."),
     CONFIG_APPLIED(1100, "A configuration version took effect in this process."),
     CONFIG_UNCONFIRMED(1101, "The log could not be read for longer than the confirmation bound."),
     CONFIG_CONFIRMED(1102, "The configuration was confirmed against the log again."),
