End the work of callers that left while their requests waited unread

Cause: an entry took the read of a request for its arrival. A starting entry accepted 16 connections a turn, so connections waited for seconds in the accept queue; each request was sent on within the read of its last byte, before the close behind it.

Change: a request counts from the earliest time at which it may have arrived, which follows from the selections of the loop and the accept queue; all connections are accepted in a turn; requests are handled after all input of the turn was read, for 20 ms at a time; a connection that was not known to be open within 20 ms is read before its request is sent, also once the connection to the upstream is there; a request whose caller stopped waiting before it was read is refused at once.

HttpServerTest, ConnectionCloseTest, EntryNodeTest, PlannedStopTest and BrokenStreamTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -100,14 +100,15 @@
         this.customer = customer;
         this.writer = writer;
         this.service = route.pickService(context.random().nextDouble());
-        this.arrivalNanos = context.time().nanoTime();
+        this.arrivalNanos = writer.earliestArrivalNanos();
         Duration timeout = route.timeLimit(request.deadline());
         this.deadlineNanos = arrivalNanos + timeout.toNanos();
         this.waitingSinceNanos =
                 arrivalNanos - context.priorWait(route, request).toNanos();
         this.lastEventId = request.resumeAfter().orElse(0);
         this.replacementRefusedNanos = arrivalNanos - REPLACEMENT_PAUSE.toNanos();
-        this.deadlineTimer = context.loop().schedule(this::onDeadline, timeout.toNanos(), TimeUnit.NANOSECONDS);
+        this.deadlineTimer = context.loop()
+                .schedule(this::onDeadline, deadlineNanos - context.time().nanoTime(), TimeUnit.NANOSECONDS);
     }
 
     /** Starts the exchange of a request that was matched to a route. */
@@ -120,7 +121,11 @@
         Exchange exchange = new Exchange(context, request, route, customer, writer);
         writer.onDisconnect(exchange::onCallerDisconnected);
         context.onStarted(exchange, exchange.service);
-        context.enqueue(exchange, exchange.service);
+        if (exchange.expired()) {
+            exchange.refuse(new Refusal("no-time-left", context.retryAfter()));
+        } else {
+            context.enqueue(exchange, exchange.service);
+        }
     }
 
     @Override
@@ -158,6 +163,12 @@
         return Math.min(latestStart, arrivalNanos + route.callerTimeout().toNanos());
     }
 
+    /** Returns whether the caller has stopped waiting before the request was read. */
+    private boolean expired() {
+        long callerLeavesNanos = arrivalNanos + route.callerTimeout().toNanos();
+        return context.time().nanoTime() >= Math.min(deadlineNanos, callerLeavesNanos);
+    }
+
     @Override
     public boolean alreadySent() {
         return attempts > 0;
@@ -183,6 +194,10 @@
 
     @Override
     public void dispatch(Choice choice) {
+        if (!writer.connected()) {
+            // The end of the exchange follows as the connection closes.
+            return;
+        }
         if (awaitingReplacement) {
             replaceStalledAttempt(choice);
             return;
@@ -372,6 +387,10 @@
         return service;
     }
 
+    boolean callerConnected() {
+        return writer.connected();
+    }
+
     boolean isStream() {
         return route.kind() == RouteKind.STREAM;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -139,6 +139,14 @@
         return exchange.id();
     }
 
+    /** A caller that has left while the connection was established has its request sent to no upstream. */
+    @Override
+    public void onConnected() {
+        if (!exchange.callerConnected()) {
+            call.cancel();
+        }
+    }
+
     @Override
     public ResponseMatch match(HttpResponse response) {
         Optional<String> id = context.dialect().decode(response).attemptId();
--- a/gateway/src/main/java/org/masticcroft/gateway/http/DrainingServerChannel.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/DrainingServerChannel.java
@@ -5,16 +5,44 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.masticcroft.gateway.loop.InputClock;
 
 /**
  * Server channel that accepts the connections which the kernel has established before it closes. Closing a listening
  * socket resets those that are not accepted yet.
  */
-public final class DrainingServerChannel extends NioServerSocketChannel {
+final class DrainingServerChannel extends NioServerSocketChannel {
     private static final long SELECTION_WAIT_MILLIS = 1;
 
-    /** Creates a channel; Netty calls it by reflection. */
-    public DrainingServerChannel() {}
+    private final InputClock inputs;
+    private boolean connectionsLeft;
+    private long earliestArrivalNanos;
+
+    /**
+     * Creates a channel.
+     *
+     * @param inputs bounds when a connection was established
+     */
+    DrainingServerChannel(InputClock inputs) {
+        this.inputs = inputs;
+        this.earliestArrivalNanos = inputs.earliestArrivalNanos();
+    }
+
+    /** Returns the monotonic time in nanoseconds before which the last accepted connection was not established. */
+    long earliestArrivalNanos() {
+        return earliestArrivalNanos;
+    }
+
+    /** Accepts a connection. One read accepts a limited number, so that others wait for the next turn of the loop. */
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+        if (!connectionsLeft) {
+            earliestArrivalNanos = inputs.earliestArrivalNanos();
+        }
+        int count = super.doReadMessages(accepted);
+        connectionsLeft = count > 0;
+        return count;
+    }
 
     /**
      * Closes the channel once no established connection is pending. The socket leaves the selector first, because a
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -5,16 +5,21 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.time.TimeSource;
 
 /** HTTP server that serves one request at a time on each connection. Used on the event loop only. */
@@ -22,6 +27,9 @@
     /** Connections that wait to be accepted. A client retries a dropped SYN only after one second. */
     private static final int BACKLOG = 1024;
 
+    /** Time for which requests are handled until new input is read, such as the closes of their callers. */
+    private static final Duration MAX_HANDLING = Duration.ofMillis(20);
+
     /** Interval at which connections that exceed the idle timeout are closed. */
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
 
@@ -32,26 +40,46 @@
 
     private final EventLoop loop;
     private final TimeSource time;
+    private final InputClock inputs;
     private final RequestHandler handler;
     private final Supplier<CallerLimits> limits;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private final Deque<ServerConnection> arrivals = new ArrayDeque<>();
+    private boolean handling;
     private Channel serverChannel;
     private boolean draining;
     private boolean listenerClosing;
 
-    private HttpServer(EventLoop loop, TimeSource time, Supplier<CallerLimits> limits, RequestHandler handler) {
+    private HttpServer(
+            EventLoop loop, TimeSource time, InputClock inputs, Supplier<CallerLimits> limits, RequestHandler handler) {
         this.loop = loop;
         this.time = time;
+        this.inputs = inputs;
         this.limits = limits;
         this.handler = handler;
     }
 
-    /** Creates a server that calls the handler for each request. */
+    /** Creates a server that calls the handler for each request and takes it to arrive when it is read. */
     public static HttpServer of(
             EventLoop loop, TimeSource time, Supplier<CallerLimits> limits, RequestHandler handler) {
+        return of(loop, time, InputClock.immediate(time), limits, handler);
+    }
+
+    /**
+     * Creates a server that calls the handler for each request.
+     *
+     * @param loop event loop
+     * @param time time source
+     * @param inputs bounds when a request has arrived
+     * @param limits limits of the callers, which may change
+     * @param handler handler of the requests
+     */
+    public static HttpServer of(
+            EventLoop loop, TimeSource time, InputClock inputs, Supplier<CallerLimits> limits, RequestHandler handler) {
         return new HttpServer(
                 Objects.requireNonNull(loop, "loop"),
                 Objects.requireNonNull(time, "time"),
+                Objects.requireNonNull(inputs, "inputs"),
                 Objects.requireNonNull(limits, "limits"),
                 Objects.requireNonNull(handler, "handler"));
     }
@@ -60,9 +88,10 @@
     public void listen(Address address) {
         serverChannel = new ServerBootstrap()
                 .group(loop)
-                .channel(DrainingServerChannel.class)
+                .channelFactory(() -> new DrainingServerChannel(inputs))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAll())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -134,8 +163,39 @@
         connections.remove(connection);
     }
 
+    /** Has the next request of a connection handled once all input of this turn of the event loop was read. */
+    void arrived(ServerConnection connection) {
+        arrivals.addLast(connection);
+        if (!handling) {
+            handling = true;
+            loop.execute(this::handleArrivals);
+        }
+    }
+
+    private void handleArrivals() {
+        long begunNanos = time.nanoTime();
+        while (!arrivals.isEmpty() && time.since(begunNanos).compareTo(MAX_HANDLING) < 0) {
+            arrivals.removeFirst().handleNext();
+        }
+        handling = !arrivals.isEmpty();
+        if (handling) {
+            // A scheduled task runs only after the next selection.
+            loop.schedule(this::handleArrivals, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Accepts all established connections in one turn of the event loop, so that none waits for a later one. */
+    private static RecvByteBufAllocator acceptAll() {
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG);
+    }
+
+    InputClock inputs() {
+        return inputs;
+    }
+
     private void accept(Channel channel) {
-        ServerConnection connection = new ServerConnection(this);
+        DrainingServerChannel listener = (DrainingServerChannel) channel.parent();
+        ServerConnection connection = new ServerConnection(this, listener.earliestArrivalNanos());
         connections.add(connection);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
--- a/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
@@ -167,6 +167,9 @@
         }
 
         private void connected(ClientConnection connection) {
+            if (!cancelled && connection != null) {
+                listener.onConnected();
+            }
             if (cancelled || connection == null) {
                 request.release();
                 if (connection != null) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
@@ -10,6 +10,9 @@
         return "";
     }
 
+    /** Called when the connection is established, before the request is sent; may cancel the call. */
+    default void onConnected() {}
+
     /**
      * Returns whether a response belongs to the request. An upstream may send the response to an earlier request late,
      * or once more; such a response is skipped.
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseWriter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseWriter.java
@@ -20,6 +20,15 @@
     /** Closes the connection, so that the client does not take the response for complete. */
     void abort();
 
+    /** Returns the monotonic time in nanoseconds before which the request has not arrived. */
+    long earliestArrivalNanos();
+
+    /**
+     * Returns whether the caller is still connected. Reads what has arrived on the connection first, if the event loop
+     * has not done so for a while.
+     */
+    boolean connected();
+
     /** Sets the action that runs once if the client disconnects before the response is complete. */
     void onDisconnect(Runnable action);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -49,7 +49,12 @@
     /** Time for which the rest of a refused request is read, so that its caller gets the response. */
     private static final long DISCARD_MILLIS = 1000;
 
+    /** Time since a connection was known to be open from which it is read before its request is sent on. */
+    private static final Duration LATE = Duration.ofMillis(20);
+
     private final HttpServer server;
+    private final long establishedNanos;
+    private final long acceptedNanos;
     private final Deque<BufferedRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
@@ -57,10 +62,20 @@
     private final HeadTimer headTimer = new HeadTimer();
     private ConnectionWriter current;
     private long lastActiveNanos;
+    private long lastReadNanos;
+    private long checkedNanos;
     private boolean closing;
 
-    ServerConnection(HttpServer server) {
+    /**
+     * Creates the handler of a connection that was accepted now.
+     *
+     * @param server the server
+     * @param establishedNanos monotonic time before which the connection was not established
+     */
+    ServerConnection(HttpServer server, long establishedNanos) {
         this.server = server;
+        this.establishedNanos = establishedNanos;
+        this.acceptedNanos = server.time().nanoTime();
     }
 
     /** Returns the handler that goes before the decoder and notes when a request head begins. */
@@ -120,6 +135,8 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
         lastActiveNanos = server.time().nanoTime();
+        lastReadNanos = lastActiveNanos;
+        checkedNanos = establishedNanos;
     }
 
     @Override
@@ -158,7 +175,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        // The client reset the connection; channelInactive follows and cancels the current request.
+        // The client reset the connection, or its request failed; channelInactive follows and cancels the request.
         ctx.close();
     }
 
@@ -194,26 +211,58 @@
         }
         body.addComponent(true, content.content().retain());
         if (content instanceof LastHttpContent) {
-            BufferedRequest request = new BufferedRequest(head, ByteBufUtil.getBytes(body));
+            BufferedRequest request =
+                    new BufferedRequest(head, ByteBufUtil.getBytes(body), headTimer.earliestArrivalNanos());
             head = null;
             headTimer.requestEnded();
             releaseBody();
-            if (pipelined.size() >= MAX_PIPELINED) {
+            int behindCurrent = current == null ? pipelined.size() - 1 : pipelined.size();
+            if (behindCurrent >= MAX_PIPELINED) {
                 closing = true;
                 return;
             }
             pipelined.addLast(request);
-            handleNext();
+            server.arrived(this);
         }
     }
 
-    private void handleNext() {
-        if (current != null || pipelined.isEmpty()) {
+    /** Handles the next request unless one is open or the caller has left. */
+    void handleNext() {
+        if (current != null || pipelined.isEmpty() || !readIfLate()) {
             return;
         }
         BufferedRequest request = pipelined.removeFirst();
-        current = new ConnectionWriter(request.head());
-        server.handler().handle(request.head(), request.body(), current);
+        current = new ConnectionWriter(request);
+        try {
+            server.handler().handle(request.head(), request.body(), current);
+        } catch (RuntimeException e) {
+            exceptionCaught(context, e);
+        }
+    }
+
+    /** Reads the connection unless it was open a moment ago, and returns whether it still is. */
+    private boolean readIfLate() {
+        long now = server.time().nanoTime();
+        if (now - knownOpenNanos(now) > LATE.toNanos()) {
+            readReceivedBytes();
+            checkedNanos = server.time().nanoTime();
+        }
+        return context.channel().isActive();
+    }
+
+    /** Returns the latest monotonic time in nanoseconds before which the caller has not closed the connection. */
+    private long knownOpenNanos(long now) {
+        long selectedNanos = now - server.inputs().sinceSelection().toNanos();
+        // A close may have arrived behind the bytes that were read in this turn of the event loop.
+        boolean readInThisTurn = lastReadNanos - selectedNanos >= 0;
+        return Math.max(checkedNanos, readInThisTurn ? earliestArrivalNanos() : selectedNanos);
+    }
+
+    /** Returns the monotonic time in nanoseconds before which nothing that is read now has arrived. */
+    private long earliestArrivalNanos() {
+        long earliest = server.inputs().earliestArrivalNanos();
+        // What is read first after the accept may have arrived as soon as the connection was established.
+        return earliest <= acceptedNanos ? Math.min(earliest, establishedNanos) : earliest;
     }
 
     private void rejectMalformed(Throwable cause) {
@@ -229,7 +278,7 @@
         closing = true;
         head = null;
         releaseBody();
-        if (current != null) {
+        if (busy()) {
             return;
         }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
@@ -253,7 +302,7 @@
         }
     }
 
-    private record BufferedRequest(HttpRequest head, byte[] body) {}
+    private record BufferedRequest(HttpRequest head, byte[] body, long earliestArrivalNanos) {}
 
     /** Notes the arrival of the first bytes of a request head, which the decoder keeps until the head is complete. */
     private final class HeadTimer extends ChannelInboundHandlerAdapter {
@@ -261,6 +310,11 @@
         private boolean headBegun;
         private long headBegunNanos;
 
+        /** Returns the monotonic time in nanoseconds before which the last request has not arrived. */
+        long earliestArrivalNanos() {
+            return headBegunNanos;
+        }
+
         boolean headBegun() {
             return headBegun;
         }
@@ -280,9 +334,10 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            lastReadNanos = server.time().nanoTime();
             if (betweenRequests && !headBegun) {
                 headBegun = true;
-                headBegunNanos = server.time().nanoTime();
+                headBegunNanos = ServerConnection.this.earliestArrivalNanos();
             }
             ctx.fireChannelRead(message);
         }
@@ -290,15 +345,27 @@
 
     /** Writes the response to the current request. */
     private final class ConnectionWriter implements ResponseWriter {
+        private final long earliestArrivalNanos;
         private final boolean keepAlive;
         private final boolean headRequest;
         private boolean closeAfterResponse;
         private boolean finished;
         private Runnable onDisconnect = () -> {};
 
-        private ConnectionWriter(HttpRequest request) {
-            keepAlive = HttpUtil.isKeepAlive(request);
-            headRequest = request.method().equals(HttpMethod.HEAD);
+        private ConnectionWriter(BufferedRequest request) {
+            earliestArrivalNanos = request.earliestArrivalNanos();
+            keepAlive = HttpUtil.isKeepAlive(request.head());
+            headRequest = request.head().method().equals(HttpMethod.HEAD);
+        }
+
+        @Override
+        public long earliestArrivalNanos() {
+            return earliestArrivalNanos;
+        }
+
+        @Override
+        public boolean connected() {
+            return !finished && readIfLate();
         }
 
         @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
@@ -14,13 +14,10 @@
  * Notes when an event loop selects its input, which bounds the time for which an input has waited: whatever it handles
  * now was not there at the selection before. Used on that event loop only.
  */
-public final class InputTimes {
+public final class InputTimes implements InputClock {
     /** Time by which a selection may return after it was due, before the process counts as paused. */
     private static final Duration WAKEUP_DELAY = Duration.ofMillis(20);
 
-    /** Shortest time of a selection that had to wait for its input. */
-    private static final Duration BLOCKED = Duration.ofMillis(1);
-
     private final TimeSource time;
     private long selectedNanos;
     private long earliestArrivalNanos;
@@ -43,11 +40,16 @@
         return executor -> new NotingHandler(nio.newHandler(executor));
     }
 
-    /** Returns the monotonic time in nanoseconds before which no input that is handled now has arrived. */
+    @Override
     public long earliestArrivalNanos() {
         return earliestArrivalNanos;
     }
 
+    @Override
+    public Duration sinceSelection() {
+        return time.since(selectedNanos);
+    }
+
     /** Returns the longest time for which an input that is handled now may have waited. */
     public Duration longestWait() {
         return time.since(earliestArrivalNanos);
@@ -60,22 +62,21 @@
         return taken;
     }
 
+    /** Notes a selection that did not wait for input. */
+    void selected() {
+        earliestArrivalNanos = selectedNanos;
+        selectedNanos = time.nanoTime();
+    }
+
     /**
-     * Notes a selection.
+     * Notes a selection that waited for input, right after one that found none.
      *
-     * @param begunNanos when it began
      * @param dueNanos latest time at which it was to return
      */
-    void selected(long begunNanos, long dueNanos) {
+    void selectedAfterWait(long dueNanos) {
         long now = time.nanoTime();
-        if (now - begunNanos < BLOCKED.toNanos()) {
-            earliestArrivalNanos = selectedNanos;
-        } else if (now - dueNanos > WAKEUP_DELAY.toNanos()) {
-            earliestArrivalNanos = begunNanos;
-        } else {
-            // The selection returned with its first input.
-            earliestArrivalNanos = now;
-        }
+        // It returned with its first input, unless the process was paused.
+        earliestArrivalNanos = now - dueNanos > WAKEUP_DELAY.toNanos() ? selectedNanos : now;
         selectedNanos = now;
     }
 
@@ -95,7 +96,11 @@
 
         @Override
         public int run(IoHandlerContext context) {
-            int inputs = handler.run(new NotingContext(context));
+            // Only a selection that does not wait tells whether there was input already.
+            int inputs = handler.run(new NotingContext(context, false));
+            if (inputs == 0 && context.canBlock()) {
+                inputs = handler.run(new NotingContext(context, true));
+            }
             if (inputs > 0) {
                 handled();
             }
@@ -136,17 +141,23 @@
     /** Context of one run of the handler, which asks for the active time right after the selection. */
     private final class NotingContext implements IoHandlerContext {
         private final IoHandlerContext context;
-        private final long begunNanos = time.nanoTime();
+        private final boolean mayWait;
         private final long dueNanos;
 
-        private NotingContext(IoHandlerContext context) {
+        private NotingContext(IoHandlerContext context, boolean mayWait) {
             this.context = context;
-            this.dueNanos = context.canBlock() ? begunNanos + context.delayNanos(begunNanos) : begunNanos;
+            this.mayWait = mayWait;
+            long now = time.nanoTime();
+            this.dueNanos = mayWait ? now + context.delayNanos(now) : now;
         }
 
         @Override
         public boolean shouldReportActiveIoTime() {
-            selected(begunNanos, dueNanos);
+            if (mayWait) {
+                selectedAfterWait(dueNanos);
+            } else {
+                selected();
+            }
             return context.shouldReportActiveIoTime();
         }
 
@@ -157,7 +168,7 @@
 
         @Override
         public boolean canBlock() {
-            return context.canBlock();
+            return mayWait;
         }
 
         @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -157,7 +157,7 @@
                 promptParts,
                 this::onEvidence);
         this.chooser = UpstreamChooser.of(settings.zone());
-        this.callerServer = HttpServer.of(loop, time, this::limits, this::handle);
+        this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
         this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
