Append in a flush what was buffered when it began

Cause: a flush of the account went on while records arrived during its appends, so that each interval of 4 s ended in a series of small signed batches (26 in one second after a restart under load, with 3 to 10 records each; every append is a billed call). Change: a flush ends with the records that were buffered when it began; a close still appends all.

--- a/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
+++ b/account/src/main/java/org/masticcroft/account/writer/LogAccountWriter.java
@@ -125,13 +125,15 @@
     }
 
     /**
-     * Appends all buffered records.
+     * Appends the records that are buffered now. Those that arrive meanwhile wait for the next flush, unless they fit
+     * into the last batch.
      *
      * @return whether the log confirmed all of them
      */
     public boolean flush() {
         synchronized (flushLock) {
-            while (pending != null || !isBufferEmpty()) {
+            long end = bufferEnd();
+            while (pending != null || bufferStart() < end) {
                 if (!appendNext(false, false)) {
                     return false;
                 }
@@ -144,12 +146,22 @@
     public void close() {
         scheduler.shutdown();
         synchronized (flushLock) {
-            if (!finalBatchAppended && flush()) {
+            if (!finalBatchAppended && flushAll()) {
                 finalBatchAppended = appendNext(true, true);
             }
         }
     }
 
+    /** Appends records until none is buffered. */
+    private boolean flushAll() {
+        while (pending != null || !isBufferEmpty()) {
+            if (!flush()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void scheduleFlush(UnaryOperator<Duration> interval) {
         Runnable task = () -> {
             flushIfDue();
@@ -177,6 +189,18 @@
         }
     }
 
+    private long bufferStart() {
+        synchronized (buffer) {
+            return buffer.firstNumber();
+        }
+    }
+
+    private long bufferEnd() {
+        synchronized (buffer) {
+            return buffer.nextNumber();
+        }
+    }
+
     private boolean isBufferEmpty() {
         synchronized (buffer) {
             return buffer.isEmpty();
--- a/account/src/main/java/org/masticcroft/account/writer/RecordBuffer.java
+++ b/account/src/main/java/org/masticcroft/account/writer/RecordBuffer.java
@@ -39,7 +39,7 @@
 
     /** Removes the oldest records up to the given payload size, but at least one unless the buffer is empty. */
     BatchContent takeBatch(int maxPayloadBytes) {
-        long first = records.isEmpty() ? nextNumber : records.getFirst().number;
+        long first = firstNumber();
         Optional<Gap> precedingGap = gap;
         gap = Optional.empty();
         List<String> lines = new ArrayList<>();
@@ -53,6 +53,16 @@
         return new BatchContent(first, lines, precedingGap);
     }
 
+    /** Returns the number of the oldest record, or of the next one if the buffer is empty. */
+    long firstNumber() {
+        return records.isEmpty() ? nextNumber : records.getFirst().number;
+    }
+
+    /** Returns the number of the next record. */
+    long nextNumber() {
+        return nextNumber;
+    }
+
     boolean isEmpty() {
         return records.isEmpty() && gap.isEmpty();
     }
