Bound the arrival of input also after pauses and at the end of a listener

Cause, found by a second reader and by tests: datagrams beyond the first 16 of a turn, input behind a wait that a pause ended, and connections of a listener that stops counted as newer than they were; an error in a handler would have ended the handling of requests for good; idle connections were closed without reading what had arrived; requests that were read but not handled had no answer at the end of a stop. Change: all datagrams are read in a turn; a wait that returned late is followed by a selection before overdue timers run; times count from the begin of a selection; requests are handled before a stop ends.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/DrainingServerChannel.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/DrainingServerChannel.java
@@ -4,8 +4,10 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.loop.InputClock;
+import org.masticcroft.kernel.time.TimeSource;
 
 /**
  * Server channel that accepts the connections which the kernel has established before it closes. Closing a listening
@@ -14,33 +16,42 @@
 final class DrainingServerChannel extends NioServerSocketChannel {
     private static final long SELECTION_WAIT_MILLIS = 1;
 
+    private final TimeSource time;
     private final InputClock inputs;
+    private OptionalLong deregisteredNanos = OptionalLong.empty();
     private boolean connectionsLeft;
+    private long acceptedNanos;
     private long earliestArrivalNanos;
 
     /**
      * Creates a channel.
      *
+     * @param time time source
      * @param inputs bounds when a connection was established
      */
-    DrainingServerChannel(InputClock inputs) {
+    DrainingServerChannel(TimeSource time, InputClock inputs) {
+        this.time = time;
         this.inputs = inputs;
         this.earliestArrivalNanos = inputs.earliestArrivalNanos();
     }
 
     /** Returns the monotonic time in nanoseconds before which the last accepted connection was not established. */
     long earliestArrivalNanos() {
-        return earliestArrivalNanos;
+        return deregisteredNanos.orElse(earliestArrivalNanos);
     }
 
     /** Accepts a connection. One read accepts a limited number, so that others wait for the next turn of the loop. */
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        if (!connectionsLeft) {
-            earliestArrivalNanos = inputs.earliestArrivalNanos();
+        long earliest = inputs.earliestArrivalNanos();
+        // A selection since the last accept that did not find a connection shows that none was left.
+        if (!connectionsLeft || earliest > acceptedNanos) {
+            earliestArrivalNanos = earliest;
         }
+        connectionsLeft = true;
         int count = super.doReadMessages(accepted);
         connectionsLeft = count > 0;
+        acceptedNanos = time.nanoTime();
         return count;
     }
 
@@ -50,6 +61,7 @@
      */
     static void acceptPendingAndClose(Channel channel) {
         DrainingServerChannel listener = (DrainingServerChannel) channel;
+        listener.deregisteredNanos = OptionalLong.of(listener.inputs.earliestArrivalNanos());
         listener.deregister().addListener(done -> listener.closeOnceUnregistered());
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -88,7 +88,7 @@
     public void listen(Address address) {
         serverChannel = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new DrainingServerChannel(inputs))
+                .channelFactory(() -> new DrainingServerChannel(time, inputs))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAll())
@@ -172,15 +172,25 @@
         }
     }
 
-    private void handleArrivals() {
-        long begunNanos = time.nanoTime();
-        while (!arrivals.isEmpty() && time.since(begunNanos).compareTo(MAX_HANDLING) < 0) {
+    /** Handles all requests that were read, since the process is about to exit. */
+    public void handleAllArrivals() {
+        while (!arrivals.isEmpty()) {
             arrivals.removeFirst().handleNext();
         }
-        handling = !arrivals.isEmpty();
-        if (handling) {
-            // A scheduled task runs only after the next selection.
-            loop.schedule(this::handleArrivals, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void handleArrivals() {
+        long begunNanos = time.nanoTime();
+        try {
+            while (!arrivals.isEmpty() && time.since(begunNanos).compareTo(MAX_HANDLING) < 0) {
+                arrivals.removeFirst().handleNext();
+            }
+        } finally {
+            handling = !arrivals.isEmpty();
+            if (handling) {
+                // A scheduled task runs only after the next selection.
+                loop.schedule(this::handleArrivals, 0, TimeUnit.MILLISECONDS);
+            }
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -119,11 +119,18 @@
     }
 
     void closeIfIdleLongerThan(Duration limit) {
-        if (!busy() && server.time().since(lastActiveNanos).compareTo(limit) > 0) {
-            context.close();
+        if (inactiveLongerThan(limit)) {
+            readReceivedBytes();
+            if (inactiveLongerThan(limit)) {
+                context.close();
+            }
         }
     }
 
+    private boolean inactiveLongerThan(Duration limit) {
+        return !busy() && server.time().since(lastActiveNanos).compareTo(limit) > 0;
+    }
+
     /** Refuses a request whose head arrives too slowly, so that it does not hold the connection. */
     void rejectIfHeadTakesLongerThan(Duration limit) {
         if (headTimer.headBegun() && !busy() && headTimer.age().compareTo(limit) > 0) {
--- a/gateway/src/main/java/org/masticcroft/gateway/load/DatagramPort.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/load/DatagramPort.java
@@ -6,7 +6,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -19,6 +21,12 @@
 
 /** UDP endpoint for datagrams between the processes of the fleet. Used on the event loop only. */
 public final class DatagramPort {
+    /** Datagrams that one turn of the event loop reads, so that none waits for a later turn. */
+    private static final int MAX_DATAGRAMS_PER_TURN = 1024;
+
+    /** Size of the buffer for a datagram in bytes. */
+    private static final int BUFFER_BYTES = 2048;
+
     private final EventLoop loop;
     private final DecisionLog log;
     private Channel channel;
@@ -38,6 +46,9 @@
         channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(BUFFER_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_TURN))
                 .handler(new Handler(handler))
                 .bind(address.socketAddress())
                 .syncUninterruptibly()
--- a/gateway/src/main/java/org/masticcroft/gateway/loop/InputClock.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/loop/InputClock.java
@@ -8,6 +8,9 @@
     /** Returns the monotonic time in nanoseconds before which no input that is handled now has arrived. */
     long earliestArrivalNanos();
 
+    /** Returns the longest time for which an input that is handled now may have waited. */
+    Duration longestWait();
+
     /** Returns the time for which the event loop has not looked for new input. */
     Duration sinceSelection();
 
@@ -19,6 +22,11 @@
                 return time.nanoTime();
             }
 
+            @Override
+            public Duration longestWait() {
+                return Duration.ZERO;
+            }
+
             @Override
             public Duration sinceSelection() {
                 return Duration.ZERO;
--- a/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
@@ -21,6 +21,7 @@
     private final TimeSource time;
     private long selectedNanos;
     private long earliestArrivalNanos;
+    private boolean pausedWhileWaiting;
     private Duration longestWait = Duration.ZERO;
 
     private InputTimes(TimeSource time) {
@@ -50,7 +51,7 @@
         return time.since(selectedNanos);
     }
 
-    /** Returns the longest time for which an input that is handled now may have waited. */
+    @Override
     public Duration longestWait() {
         return time.since(earliestArrivalNanos);
     }
@@ -62,10 +63,14 @@
         return taken;
     }
 
-    /** Notes a selection that did not wait for input. */
-    void selected() {
+    /**
+     * Notes a selection that did not wait for input.
+     *
+     * @param begunNanos when it began
+     */
+    void selected(long begunNanos) {
         earliestArrivalNanos = selectedNanos;
-        selectedNanos = time.nanoTime();
+        selectedNanos = begunNanos;
     }
 
     /**
@@ -75,9 +80,14 @@
      */
     void selectedAfterWait(long dueNanos) {
         long now = time.nanoTime();
-        // It returned with its first input, unless the process was paused.
-        earliestArrivalNanos = now - dueNanos > WAKEUP_DELAY.toNanos() ? selectedNanos : now;
-        selectedNanos = now;
+        pausedWhileWaiting = now - dueNanos > WAKEUP_DELAY.toNanos();
+        if (pausedWhileWaiting) {
+            earliestArrivalNanos = selectedNanos;
+        } else {
+            // The selection returned with its first input.
+            earliestArrivalNanos = now;
+            selectedNanos = now;
+        }
     }
 
     /** Notes the end of the turn in which the input of a selection was handled. */
@@ -97,9 +107,15 @@
         @Override
         public int run(IoHandlerContext context) {
             // Only a selection that does not wait tells whether there was input already.
-            int inputs = handler.run(new NotingContext(context, false));
+            long now = time.nanoTime();
+            long dueNanos = context.canBlock() ? now + context.delayNanos(now) : now;
+            int inputs = handler.run(new NotingContext(context, false, dueNanos));
             if (inputs == 0 && context.canBlock()) {
-                inputs = handler.run(new NotingContext(context, true));
+                inputs = handler.run(new NotingContext(context, true, dueNanos));
+                if (pausedWhileWaiting) {
+                    // The wait may have ended without the input that came meanwhile, which goes before overdue timers.
+                    inputs += handler.run(new NotingContext(context, false, dueNanos));
+                }
             }
             if (inputs > 0) {
                 handled();
@@ -143,12 +159,12 @@
         private final IoHandlerContext context;
         private final boolean mayWait;
         private final long dueNanos;
+        private final long begunNanos = time.nanoTime();
 
-        private NotingContext(IoHandlerContext context, boolean mayWait) {
+        private NotingContext(IoHandlerContext context, boolean mayWait, long dueNanos) {
             this.context = context;
             this.mayWait = mayWait;
-            long now = time.nanoTime();
-            this.dueNanos = mayWait ? now + context.delayNanos(now) : now;
+            this.dueNanos = dueNanos;
         }
 
         @Override
@@ -156,7 +172,7 @@
             if (mayWait) {
                 selectedAfterWait(dueNanos);
             } else {
-                selected();
+                selected(begunNanos);
             }
             return context.shouldReportActiveIoTime();
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -253,6 +253,7 @@
     }
 
     private void endOpenRequests() {
+        callerServer.handleAllArrivals();
         log.write(Event.PROCESS_DRAINING, "open_requests", openExchanges.size(), "effect", "ended");
         List.copyOf(openExchanges).forEach(Exchange::endBeforeExit);
     }
