Count the turn of the event loop in the age of a version

What callers saw: requests begun on old weights 3.08 to 3.82 s after a newer version was named, for a bound of 3 s. Cause: news counted as at most as old as the last gap of 400 ms between two checks. The check runs with every request, so a turn of many requests was no gap, however long the news had waited for it. Change: news are at least as old as an input of this turn may be.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -141,7 +141,14 @@
         this.namedVersions = NamedVersions.empty(time);
         this.storeFreshness = StoreFreshness.unconfirmed(time);
         this.fleet = FleetState.empty(
-                time, upstreams, namedVersions, storeFreshness, log, this::announceVersion, dependencies.account());
+                time,
+                dependencies.inputs(),
+                upstreams,
+                namedVersions,
+                storeFreshness,
+                log,
+                this::announceVersion,
+                dependencies.account());
         this.recorder = new RequestRecorder(
                 time, log, RequestMetrics.of(metrics), dependencies.account(), fleet, storeFreshness);
         this.configValidity =
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -19,6 +19,7 @@
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.time.TimeSource;
 
@@ -31,6 +32,7 @@
     private final DecisionLog log;
     private final Consumer<String> newVersionListener;
     private final AccountRecorder account;
+    private final InputClock inputs;
     private final ExecutionPauses pauses;
     private final DeferredRemovals deferredRemovals;
     private Optional<GatewayConfig> config = Optional.empty();
@@ -40,6 +42,7 @@
 
     private FleetState(
             TimeSource time,
+            InputClock inputs,
             UpstreamTable upstreams,
             NamedVersions namedVersions,
             StoreFreshness storeFreshness,
@@ -47,6 +50,7 @@
             Consumer<String> newVersionListener,
             AccountRecorder account) {
         this.time = time;
+        this.inputs = inputs;
         this.pauses = ExecutionPauses.watch(time);
         this.upstreams = upstreams;
         this.deferredRemovals = new DeferredRemovals(upstreams);
@@ -59,13 +63,14 @@
 
     static FleetState empty(
             TimeSource time,
+            InputClock inputs,
             UpstreamTable upstreams,
             NamedVersions namedVersions,
             StoreFreshness storeFreshness,
             DecisionLog log,
             Consumer<String> newVersionListener,
             AccountRecorder account) {
-        return new FleetState(time, upstreams, namedVersions, storeFreshness, log, newVersionListener, account);
+        return new FleetState(time, inputs, upstreams, namedVersions, storeFreshness, log, newVersionListener, account);
     }
 
     Optional<GatewayConfig> config() {
@@ -181,7 +186,9 @@
     private Duration greatestAgeOfNews() {
         checkPauses();
         Duration sinceConfirmation = storeFreshness.age();
-        Duration delay = pauses.greatestAgeOfNews();
+        Duration paused = pauses.greatestAgeOfNews();
+        Duration waited = inputs.longestWait();
+        Duration delay = waited.compareTo(paused) > 0 ? waited : paused;
         if (operatorRecordsMissedSinceNanos.isPresent()) {
             Duration missed = time.since(operatorRecordsMissedSinceNanos.getAsLong());
             delay = missed.compareTo(delay) > 0 ? missed : delay;
@@ -195,12 +202,16 @@
                 : namedVersions.addNamedBeforeStart(model, version);
         if (newer) {
             account.recordChange("weights-named", Map.of("model", model, "version", Long.toString(version)));
-            long ageMillis = namedVersions.age(model, version).toMillis();
-            log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
+            logNamedVersion(model, version);
             newVersionListener.accept(model);
         }
     }
 
+    private void logNamedVersion(String model, long version) {
+        long ageMillis = namedVersions.age(model, version).toMillis();
+        log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
+    }
+
     private void applyConfig(GatewayConfig published) {
         long current = config.map(GatewayConfig::version).orElse(-1L);
         if (published.version() <= current) {
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -21,6 +21,7 @@
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.time.ManualTimeSource;
 
 class FleetStateTest {
@@ -29,6 +30,7 @@
     private final UpstreamTable table = UpstreamTable.of(log);
     private final FleetState fleet = FleetState.empty(
             time,
+            InputClock.immediate(time),
             table,
             NamedVersions.empty(time),
             StoreFreshness.unconfirmed(time),
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateVersionsTest.java
@@ -18,6 +18,7 @@
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.time.ManualTimeSource;
 
 class FleetStateVersionsTest {
@@ -29,6 +30,7 @@
     private final NamedVersions namedVersions = NamedVersions.empty(time);
     private final FleetState fleet = FleetState.empty(
             time,
+            InputClock.immediate(time),
             UpstreamTable.of(log),
             namedVersions,
             StoreFreshness.unconfirmed(time),
