State the ages of versions to entries that start

What callers saw (SHORT): while a version was rolled out, each entry that had started after it was named refused every request for a model with no-upstream, for up to 11 s, although the engines with the version before were up and allowed, and the other entries used them. It reported ready, so it went on getting callers. Cause: a record of the store does not tell when a version was named, so an entry that starts counted it as an hour old. The class of fault is the common one: what a process handles now is all it knows of when it happened. Change: entries state the ages that they know with their subscriptions; a sidecar keeps the smallest, adds what news may be late by, and replies to an entry that asks; that entry counts from its question. Of two recent versions the one before counts as named long ago unless its age is stated.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/NamedVersions.java
@@ -1,7 +1,9 @@
 package org.masticcroft.gateway.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -56,6 +58,51 @@
         return add(model, version, AGE_OF_EARLIER_VERSIONS);
     }
 
+    /**
+     * Applies the statement of another process on a version that is not newer than those known here. If no older
+     * version is known, the one before it counts as named long ago.
+     *
+     * @param greatestAge longest time for which the version may have been named
+     * @return whether the version may be younger than was known
+     */
+    public boolean limitAge(String model, long version, Duration greatestAge) {
+        TreeMap<Long, Long> versions = namedNanos.get(model);
+        if (versions == null || version > versions.lastKey()) {
+            return false;
+        }
+        long earliestNanos = time.nanoTime() - greatestAge.toNanos();
+        if (versions.getOrDefault(version, Long.MIN_VALUE) >= earliestNanos) {
+            return false;
+        }
+        versions.put(version, earliestNanos);
+        if (versions.firstKey() == version) {
+            versions.put(version - 1, time.nanoTime() - AGE_OF_EARLIER_VERSIONS.toNanos());
+        }
+        return true;
+    }
+
+    /** Returns the versions whose age is known, with the longest time for which each may have been named. */
+    public List<VersionAge> ages() {
+        List<VersionAge> ages = new ArrayList<>();
+        namedNanos.forEach((model, versions) -> versions.forEach((version, nanos) -> {
+            Duration age = time.since(nanos);
+            if (age.compareTo(AGE_OF_EARLIER_VERSIONS) < 0) {
+                ages.add(new VersionAge(model, version, age));
+            }
+        }));
+        return ages;
+    }
+
+    /** Returns whether the newest version of a model was named at an unknown time before this process started. */
+    public boolean ageUnknown() {
+        return namedNanos.values().stream()
+                .anyMatch(versions ->
+                        time.since(versions.lastEntry().getValue()).compareTo(AGE_OF_EARLIER_VERSIONS) >= 0);
+    }
+
+    /** The longest time for which a version of the weights of a model may have been named. */
+    public record VersionAge(String model, long version, Duration greatestAge) {}
+
     /** Adds time that the monotonic clock has not counted to the age of all versions. */
     public void addElapsed(Duration uncounted) {
         namedNanos.values().forEach(versions -> versions.replaceAll((version, nanos) -> nanos - uncounted.toNanos()));
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -9,8 +9,10 @@
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.generated.Datagram;
 import org.masticcroft.gateway.generated.EngineLoad;
+import org.masticcroft.gateway.generated.NamedWeights;
 import org.masticcroft.gateway.generated.Subscription;
 import org.masticcroft.gateway.generated.Suspicion;
+import org.masticcroft.gateway.generated.VersionAges;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.load.LoadReport;
@@ -38,6 +40,7 @@
     private final PromptPartSuspects promptParts;
     private final TakeTurns<String> evidenceRecipients = TakeTurns.of(EVIDENCE_RECIPIENTS);
     private final Runnable onEvidence;
+    private final long startedNanos;
 
     FleetDatagrams(
             NodeSettings settings,
@@ -58,6 +61,7 @@
         this.suspects = suspects;
         this.promptParts = promptParts;
         this.onEvidence = onEvidence;
+        this.startedNanos = time.nanoTime();
     }
 
     /** Starts to receive datagrams. */
@@ -70,10 +74,14 @@
         Subscription.Builder subscription = Subscription.newBuilder();
         namedVersions
                 .newest()
-                .forEach((model, version) ->
-                        subscription.addNamed(org.masticcroft.gateway.generated.NamedWeights.newBuilder()
-                                .setModel(model)
-                                .setVersion(version)));
+                .forEach((model, version) -> subscription.addNamed(
+                        NamedWeights.newBuilder().setModel(model).setVersion(version)));
+        fleet.checkPauses();
+        namedVersions.ages().forEach(version -> subscription.addAges(VersionStatements.encode(version)));
+        if (namedVersions.ageUnknown()
+                && time.since(startedNanos).compareTo(settings.bounds().versionChange()) < 0) {
+            subscription.setAskedNanos(time.nanoTime());
+        }
         subscription.addAllSuspects(suspects.fingerprintsToReport());
         Datagram datagram = Datagram.newBuilder().setSubscription(subscription).build();
         for (Upstream upstream : upstreams.listed()) {
@@ -105,6 +113,17 @@
             }
             return;
         }
+        if (datagram.hasAges()) {
+            VersionAges ages = datagram.getAges();
+            // A reply to the process before this one states the time of another clock.
+            boolean asked = ages.getAskedNanos() - startedNanos >= 0 && time.nanoTime() - ages.getAskedNanos() >= 0;
+            if (asked) {
+                VersionStatements.decode(ages.getVersionsList())
+                        .forEach(stated -> fleet.applyVersionAge(
+                                stated.model(), stated.version(), ages.getAskedNanos(), stated.greatestAge()));
+            }
+            return;
+        }
         if (!datagram.hasLoad()) {
             return;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -177,6 +177,20 @@
         recordNamedVersion(model, version);
     }
 
+    /**
+     * Applies what a sidecar states on the age of a version, for versions that were named before this process started.
+     *
+     * @param askedNanos monotonic time at which the sidecar was asked
+     * @param statedAge longest time for which the version may have been named when it replied
+     */
+    void applyVersionAge(String model, long version, long askedNanos, Duration statedAge) {
+        checkPauses();
+        if (pauses.greatestAgeOfNews().isZero()
+                && namedVersions.limitAge(model, version, statedAge.plus(time.since(askedNanos)))) {
+            logNamedVersion(model, version);
+        }
+    }
+
     /** Looks for a pause of this process, in which versions may have been named. */
     void checkPauses() {
         namedVersions.addElapsed(pauses.check());
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -94,6 +94,7 @@
     private final LateInputReport lateInputs;
     private final WeightsUpdater updater;
     private final String service;
+    private final VersionStatements versionStatements;
     private final Map<Address, Long> subscribers = new HashMap<>();
     private final PacedUploads uploads;
     private final Map<Address, List<Long>> suspectsByEntry = new HashMap<>();
@@ -122,6 +123,7 @@
         this.engine = engine;
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
+        this.versionStatements = new VersionStatements(time, dependencies.inputs());
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
         this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
@@ -221,6 +223,7 @@
 
     private void readEngineReport() {
         updater.checkPauses();
+        versionStatements.checkPauses();
         if (reportPending) {
             return;
         }
@@ -311,6 +314,12 @@
             for (NamedWeights named : datagram.getSubscription().getNamedList()) {
                 updater.addNamedVersion(named.getModel(), named.getVersion());
             }
+            versionStatements.record(datagram.getSubscription().getAgesList());
+            if (datagram.getSubscription().getAskedNanos() != 0) {
+                datagrams.send(
+                        sender,
+                        versionStatements.reply(datagram.getSubscription().getAskedNanos()));
+            }
         } else if (datagram.hasEvidence()) {
             handleEvidence(sender, datagram.getEvidence());
         } else if (datagram.hasHeld()) {
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/NamedVersionsTest.java
@@ -76,6 +76,41 @@
         assertThat(versions.outdatedFor("other", 1)).isEmpty();
     }
 
+    // Guards against a restarted entry that refuses all requests although the older weights may still be used.
+    @Test
+    void allowOlderVersionsUntilTheBoundOnceAnotherProcessStatesTheAge() {
+        versions.addNamedBeforeStart("m", 2);
+        assertThat(versions.ageUnknown()).isTrue();
+        assertThat(versions.limitAge("m", 2, Duration.ofSeconds(4))).isTrue();
+        assertThat(versions.ageUnknown()).isFalse();
+        time.advance(Duration.ofMillis(2900));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(1);
+        time.advance(Duration.ofMillis(100));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
+    }
+
+    // Guards against weights that are two versions old and served again, because only the newest version is known.
+    @Test
+    void excludeAllButTheVersionBeforeUnlessItsAgeIsStated() {
+        versions.addNamedBeforeStart("m", 3);
+        versions.limitAge("m", 3, Duration.ofSeconds(1));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
+        versions.limitAge("m", 2, Duration.ofSeconds(5));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(1);
+        time.advance(Duration.ofSeconds(2));
+        assertThat(versions.oldestAllowed("m", BOUND)).hasValue(2);
+    }
+
+    // Guards against a statement of a process that knows less, which would make a version older or name one.
+    @Test
+    void ignoreStatementsOfGreaterAgesAndOfUnknownVersions() {
+        versions.add("m", 2);
+        assertThat(versions.limitAge("m", 2, Duration.ofSeconds(5))).isFalse();
+        assertThat(versions.age("m", 2)).isZero();
+        assertThat(versions.limitAge("m", 3, Duration.ZERO)).isFalse();
+        assertThat(versions.newest("m")).hasValue(2);
+    }
+
     @Test
     void keepTheFirstTimeOfAVersionThatIsNamedAgain() {
         versions.add("m", 2);
