--- a/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
+++ b/account/src/test/java/org/masticcroft/account/AccountHistoryTest.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -30,6 +31,8 @@
 import org.masticcroft.account.writer.LogAccountWriter;
 import org.masticcroft.kernel.time.ManualTimeSource;
 import org.masticcroft.ports.log.InMemoryLogService;
+import org.masticcroft.ports.log.LogPage;
+import org.masticcroft.ports.log.LogService;
 import org.masticcroft.ports.log.Streams;
 
 class AccountHistoryTest {
@@ -287,4 +290,35 @@
             assertThat(verify(file).findings()).isEmpty();
         }
     }
+
+    @Nested
+    class AFlushUnderLoad {
+        /** Guards against a batch for each few records, since every append is a billed call. */
+        @Test
+        void appendsNoMoreThanWasBufferedWhenItBegan() {
+            AccountSettings settings = AccountSettings.of("entry-1/b", "entry", Duration.ofSeconds(4));
+            LogAccountWriter[] loaded = new LogAccountWriter[1];
+            AtomicInteger appends = new AtomicInteger();
+            LogService slowLog = new LogService() {
+                @Override
+                public long append(String stream, byte[] data) {
+                    if (appends.incrementAndGet() <= 20) {
+                        write(loaded[0], 100 * appends.get(), 5);
+                    }
+                    return log.append(stream, data);
+                }
+
+                @Override
+                public LogPage read(String stream, long from, int max, Duration wait) {
+                    return log.read(stream, from, max, wait);
+                }
+            };
+            loaded[0] = LogAccountWriter.of(settings, keys.signingKey(), slowLog, time);
+            write(loaded[0], 0, 5);
+
+            loaded[0].flush();
+
+            assertThat(appends).hasValue(1);
+        }
+    }
 }
