Take the begin of a short wait for the earliest arrival

Cause: a request that ended a wait of the event loop counted from when the thread went on, which on a busy machine is later than its arrival. Change: a wait of at most 20 ms, the interval of the most frequent task of an entry, counts from its begin; longer waits of other loops still count from their end, so that idle time is no age. A connection is read before a send from 50 ms on, as 20 ms may pass in a wait.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -50,7 +50,7 @@
     private static final long DISCARD_MILLIS = 1000;
 
     /** Time since a connection was known to be open from which it is read before its request is sent on. */
-    private static final Duration LATE = Duration.ofMillis(20);
+    private static final Duration LATE = Duration.ofMillis(50);
 
     private final HttpServer server;
     private final long establishedNanos;
--- a/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/loop/InputTimes.java
@@ -15,6 +15,9 @@
  * now was not there at the selection before. Used on that event loop only.
  */
 public final class InputTimes implements InputClock {
+    /** Longest wait whose begin is taken for the earliest arrival; the event loop of an entry waits no longer. */
+    private static final Duration SHORT_WAIT = Duration.ofMillis(20);
+
     /** Time by which a selection may return after it was due, before the process counts as paused. */
     private static final Duration WAKEUP_DELAY = Duration.ofMillis(20);
 
@@ -76,17 +79,19 @@
     /**
      * Notes a selection that waited for input, right after one that found none.
      *
+     * @param begunNanos when it began
      * @param dueNanos latest time at which it was to return
      */
-    void selectedAfterWait(long dueNanos) {
+    void selectedAfterWait(long begunNanos, long dueNanos) {
         long now = time.nanoTime();
         pausedWhileWaiting = now - dueNanos > WAKEUP_DELAY.toNanos();
         if (pausedWhileWaiting) {
             earliestArrivalNanos = selectedNanos;
         } else {
-            // The selection returned with its first input.
-            earliestArrivalNanos = now;
-            selectedNanos = now;
+            // A long wait returned with its first input, apart from the time in which the thread was woken.
+            boolean shortWait = dueNanos - begunNanos <= SHORT_WAIT.toNanos();
+            earliestArrivalNanos = shortWait ? begunNanos : now;
+            selectedNanos = earliestArrivalNanos;
         }
     }
 
@@ -170,7 +175,7 @@
         @Override
         public boolean shouldReportActiveIoTime() {
             if (mayWait) {
-                selectedAfterWait(dueNanos);
+                selectedAfterWait(begunNanos, dueNanos);
             } else {
                 selected(begunNanos);
             }
