End a started response only when its limit is over

Cause: the limit of a request counted from its earliest arrival, also for the end of a response that had started. The true arrival lies between that and the read. Change: a response that has started ends when the limit is over counted from the read; what is promised to upstreams and the end of unanswered requests still count from the earliest arrival.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -64,11 +64,12 @@
     private final long arrivalNanos;
     private final long waitingSinceNanos;
     private final long deadlineNanos;
+    private final long latestDeadlineNanos;
     private final Set<String> triedUpstreams = new HashSet<>();
-    private final Future<?> deadlineTimer;
     private final AttemptHistory history = new AttemptHistory();
     private final ResponseDigest digest = new ResponseDigest();
 
+    private Future<?> deadlineTimer;
     private UpstreamAttempt attempt;
 
     /** An earlier attempt at a stream, which stalled and goes on until the current one has continued the stream. */
@@ -107,8 +108,8 @@
                 arrivalNanos - context.priorWait(route, request).toNanos();
         this.lastEventId = request.resumeAfter().orElse(0);
         this.replacementRefusedNanos = arrivalNanos - REPLACEMENT_PAUSE.toNanos();
-        this.deadlineTimer = context.loop()
-                .schedule(this::onDeadline, deadlineNanos - context.time().nanoTime(), TimeUnit.NANOSECONDS);
+        this.latestDeadlineNanos = context.time().nanoTime() + timeout.toNanos();
+        this.deadlineTimer = timerAt(deadlineNanos);
     }
 
     /** Starts the exchange of a request that was matched to a route. */
@@ -556,8 +557,17 @@
         }
     }
 
+    private Future<?> timerAt(long nanos) {
+        return context.loop().schedule(this::onDeadline, nanos - context.time().nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Ends the request, or a response that has started as late as the caller may still be waiting for it. */
     private void onDeadline() {
-        end(504, "deadline");
+        if (responseStarted && context.time().nanoTime() - latestDeadlineNanos < 0) {
+            deadlineTimer = timerAt(latestDeadlineNanos);
+        } else {
+            end(504, "deadline");
+        }
     }
 
     /** Ends the request because the process is about to exit; only a response that has started is cut off. */
--- a/gateway/src/test/java/org/masticcroft/gateway/loop/FrozenProcessTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/loop/FrozenProcessTest.java
@@ -12,10 +12,12 @@
 import java.io.InputStreamReader;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.masticcroft.gateway.config.CallerLimits;
@@ -55,6 +57,7 @@
                 for (int i = 0; i < FREEZES; i++) {
                     Thread.sleep(100 + 13 * i);
                     signal(process, "STOP");
+                    awaitStop(process);
                     send(caller);
                     Thread.sleep(FREEZE_MILLIS);
                     assertThat(caller.getInputStream().available())
@@ -78,6 +81,25 @@
                 .waitFor();
     }
 
+    /** Waits until no thread of the process runs, since the signal takes effect on each of them later. */
+    private static void awaitStop(Process process) throws IOException, InterruptedException {
+        while (!allThreadsStopped(process)) {
+            Thread.sleep(1);
+        }
+    }
+
+    private static boolean allThreadsStopped(Process process) throws IOException {
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+            for (Path thread : (Iterable<Path>) threads::iterator) {
+                String stat = Files.readString(thread.resolve("stat"));
+                if (!stat.substring(stat.lastIndexOf(')')).startsWith(") T")) {
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+
     private static long request(Socket caller) throws IOException {
         send(caller);
         return read(caller);
