Log and measure the age of the read-backs behind each order to an engine

Cause for the change: event 1303 states neither when the staged pieces were read back nor when the order was sent, so that the three hypotheses on the spoilt weights can't be told apart. It now states both, and a histogram of the sidecar counts the age by outcome. The sidecar's decisions are unchanged.

--- a/gateway/src/main/java/org/masticcroft/gateway/metrics/WeightsMetrics.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/metrics/WeightsMetrics.java
@@ -1,5 +1,7 @@
 package org.masticcroft.gateway.metrics;
 
+import java.time.Duration;
+
 /** Weights metrics of a sidecar: pieces fetched by source and outcome, and orders to its engine by outcome. */
 public final class WeightsMetrics {
     private final ProcessMetrics metrics;
@@ -23,9 +25,16 @@
         countPiece(fromOrigin, corrupt ? "corrupt" : "not-given");
     }
 
-    /** Records an order to the engine and its outcome. */
-    public void ordered(String outcome) {
+    /**
+     * Records an order to the engine and its outcome.
+     *
+     * @param outcome the outcome
+     * @param readBackAge time from the oldest read-back of the staged pieces to the outcome
+     */
+    public void ordered(String outcome, Duration readBackAge) {
         metrics.count(Series.of("masticcroft_engine_orders_total", "outcome", outcome));
+        metrics.histogram("masticcroft_engine_order_read_back_age_ms", "outcome", outcome)
+                .observe(readBackAge.toMillis());
     }
 
     private void countPiece(boolean fromOrigin, String outcome) {
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -55,24 +55,32 @@
             return;
         }
         requestedVersion = version;
-        staging.verify(() -> sendOrder(model, version, report));
+        staging.verify(() -> sendOrder(staging, model, version, report));
     }
 
-    private void sendOrder(String model, long version, Supplier<EngineReport> report) {
+    private void sendOrder(EngineStaging staging, String model, long version, Supplier<EngineReport> report) {
         if (requestedVersion != version || report.get().busy()) {
             return;
         }
         orderSent = true;
         orderSentNanos = time.nanoTime();
+        long sentNanos = orderSentNanos;
         engine.load(
                 model,
                 version,
                 report.get().ordersBegun(),
-                outcome -> recordOutcome(model, version, report.get().ordersBegun(), outcome));
+                outcome -> recordOutcome(
+                        staging, model, version, report.get().ordersBegun(), time.since(sentNanos), outcome));
     }
 
-    private void recordOutcome(String model, long version, long ordersBegun, LocalEngine.OrderOutcome outcome) {
-        metrics.ordered(outcome.name());
+    private void recordOutcome(
+            EngineStaging staging,
+            String model,
+            long version,
+            long ordersBegun,
+            Duration sinceSent,
+            LocalEngine.OrderOutcome outcome) {
+        metrics.ordered(outcome.name(), staging.oldestReadBackAge());
         if (outcome == LocalEngine.OrderOutcome.BEGUN) {
             begunVersion = version;
         }
@@ -87,6 +95,10 @@
                 "orders",
                 ordersBegun,
                 "outcome",
-                outcome);
+                outcome,
+                "sent_ms",
+                sinceSent.toMillis(),
+                "read_back_ms",
+                staging.oldestReadBackAge().toMillis());
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
@@ -1,10 +1,13 @@
 package org.masticcroft.gateway.weights;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.Optional;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
+import org.masticcroft.kernel.time.TimeSource;
 
 /**
  * Writes verified pieces to the staging area of the engine. Staged pieces may become corrupt, so all of them are read
@@ -16,7 +19,12 @@
 
     private final LocalEngine engine;
     private final VerifiedPieces pieces;
+    private final TimeSource time;
     private final DecisionLog log;
+
+    /** When the last read-back of each piece that matched was requested. */
+    private final long[] readBackNanos;
+
     private final Deque<Integer> toStage = new ArrayDeque<>();
     private final Deque<Integer> toVerify = new ArrayDeque<>();
     private final Runnable onStaged;
@@ -26,10 +34,12 @@
     private boolean cancelled;
     private int staged;
 
-    EngineStaging(LocalEngine engine, VerifiedPieces pieces, DecisionLog log, Runnable onStaged) {
+    EngineStaging(LocalEngine engine, VerifiedPieces pieces, TimeSource time, DecisionLog log, Runnable onStaged) {
         this.engine = engine;
         this.pieces = pieces;
+        this.time = time;
         this.log = log;
+        this.readBackNanos = new long[pieces.manifest().pieceCount()];
         this.onStaged = onStaged;
     }
 
@@ -49,6 +59,11 @@
         return verifying;
     }
 
+    /** Returns the time since the engine was asked for the first of the pieces of the last verification. */
+    Duration oldestReadBackAge() {
+        return time.since(Arrays.stream(readBackNanos).min().orElse(time.nanoTime()));
+    }
+
     /** Starts no further calls to the engine and runs no callback. */
     void cancel() {
         cancelled = true;
@@ -71,7 +86,9 @@
             callsInFlight++;
             if (toStage.isEmpty()) {
                 int index = toVerify.removeFirst();
-                engine.readStaged(pieces.manifest().model(), index, data -> readBackCompleted(index, data));
+                long requestedNanos = time.nanoTime();
+                engine.readStaged(
+                        pieces.manifest().model(), index, data -> readBackCompleted(index, requestedNanos, data));
             } else {
                 int index = toStage.removeFirst();
                 engine.stage(
@@ -102,10 +119,12 @@
         startCalls();
     }
 
-    private void readBackCompleted(int index, Optional<byte[]> data) {
+    private void readBackCompleted(int index, long requestedNanos, Optional<byte[]> data) {
         callsInFlight--;
         boolean matches = data.isPresent() && pieces.manifest().matches(index, data.get());
-        if (!matches) {
+        if (matches) {
+            readBackNanos[index] = requestedNanos;
+        } else {
             log.write(
                     Event.CHUNK_REJECTED,
                     "version",
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -425,7 +425,7 @@
             return;
         }
         VerifiedPieces current = pieces.get();
-        EngineStaging newStaging = new EngineStaging(engine, current, log, this::orderLoad);
+        EngineStaging newStaging = new EngineStaging(engine, current, time, log, this::orderLoad);
         staging = Optional.of(newStaging);
         String region = settings.regionOf(settings.zone());
         fetcher = Optional.of(new PieceFetcher(
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -40,7 +40,7 @@
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
-    ENGINE_ORDER(1303, "An order was given to an engine; its result is given."),
+    ENGINE_ORDER(1303, "An order was given to an engine; its result and the age of the oldest read-back are given."),
     ENGINE_READY(1304, "The engine reports exactly the configured weights digest as loaded."),
     ENGINE_NOT_READY(1305, "The engine does not serve the configured weights digest any more."),
     LOAD_TURN(1306, "Complete weights are loaded now, or the engine goes on serving while others load; inputs given."),
