Let the engine stand-in take layers, and spoil, slow and delay calls

The stand-in loaded whole versions at once and knew no times. It now takes layers from its staging area as they are when it accepts an order (also for a part of the layers, as the platform's engines do), remembers since when a piece is bad, and says which layers it has taken unsoundly. Its calls can be slow, share a bandwidth, be handled late or stand still.

--- a/standins/src/main/java/org/masticcroft/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/masticcroft/standins/http/StandInServer.java
@@ -45,9 +45,13 @@
      * @param stats what {@code GET /stats} returns
      */
     public static StandInServer of(int port, Faults faults, Supplier<JsonNode> stats) {
+        return of("127.0.0.1", port, faults, stats);
+    }
+
+    /** Creates a server bound to a loopback address, as {@link #of(int, Faults, Supplier)} does. */
+    public static StandInServer of(String ip, int port, Faults faults, Supplier<JsonNode> stats) {
         try {
-            HttpServer http = HttpServer.create(
-                    new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, 1}), port), BACKLOG);
+            HttpServer http = HttpServer.create(new InetSocketAddress(InetAddress.getByName(ip), port), BACKLOG);
             StandInServer server = new StandInServer(http, newPool());
             http.setExecutor(server.pool);
             http.createContext("/", server::serve);
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/platform/CallFaults.java
@@ -0,0 +1,98 @@
+package org.masticcroft.standins.platform;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Faults of the calls to an engine: slow read-backs, single calls that are handled late, and an engine that stands
+ * still. A call that is handled late takes effect then, also if its caller has given it up.
+ */
+public final class CallFaults {
+    private final Map<Kind, Deque<Duration>> lateCalls = new EnumMap<>(Kind.class);
+    private final Lock bandwidth = new ReentrantLock();
+    private Duration readTime = Duration.ZERO;
+    private boolean readsShareBandwidth;
+    private long stillUntilNanos = System.nanoTime();
+
+    CallFaults() {
+        for (Kind kind : Kind.values()) {
+            lateCalls.put(kind, new ArrayDeque<>());
+        }
+    }
+
+    /** Makes each read-back take this time; several may be in progress. */
+    public synchronized void slowReads(Duration time) {
+        readTime = time;
+        readsShareBandwidth = false;
+    }
+
+    /** Makes each read-back take this time, one after another, as over a link that is in use. */
+    public synchronized void slowSharedReads(Duration time) {
+        readTime = time;
+        readsShareBandwidth = true;
+    }
+
+    /** Handles the next call of a kind that has no such delay yet late. */
+    public synchronized void delayNext(Kind kind, Duration delay) {
+        lateCalls.get(kind).addLast(delay);
+    }
+
+    /** Handles no call until this time is over. */
+    public synchronized void standStill(Duration time) {
+        stillUntilNanos = System.nanoTime() + time.toNanos();
+    }
+
+    /** Waits as the faults require before a call is handled. */
+    void await(Kind kind) throws InterruptedException {
+        Duration late;
+        Duration ownTime;
+        boolean shared;
+        synchronized (this) {
+            Duration next = lateCalls.get(kind).pollFirst();
+            late = next == null ? Duration.ZERO : next;
+            ownTime = kind == Kind.READ_BACK ? readTime : Duration.ZERO;
+            shared = readsShareBandwidth;
+        }
+        if (shared && !ownTime.isZero()) {
+            bandwidth.lockInterruptibly();
+            try {
+                sleep(ownTime);
+            } finally {
+                bandwidth.unlock();
+            }
+        } else {
+            sleep(ownTime);
+        }
+        sleep(late);
+        awaitMotion();
+    }
+
+    private void awaitMotion() throws InterruptedException {
+        Duration still;
+        do {
+            synchronized (this) {
+                still = Duration.ofNanos(stillUntilNanos - System.nanoTime());
+            }
+            sleep(still);
+        } while (!still.isNegative());
+    }
+
+    private static void sleep(Duration time) throws InterruptedException {
+        if (!time.isZero() && !time.isNegative()) {
+            Thread.sleep(time.toMillis(), time.toNanosPart() % 1_000_000);
+        }
+    }
+
+    /** Kind of a call to the engine. */
+    public enum Kind {
+        REPORT,
+        STAGE,
+        READ_BACK,
+        ORDER
+    }
+}
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformEngineStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformEngineStandIn.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -12,19 +14,34 @@
 import org.masticcroft.standins.http.Json;
 import org.masticcroft.standins.http.StandInServer;
 
-/** HTTP stand-in of the weights interface of an engine on the platform: report, staging area and orders. */
+/**
+ * HTTP stand-in of the weights interface of an engine on the platform: report, staging area and orders. It takes layers
+ * from its staging area as they are when it accepts an order, for the whole model or a part of its layers.
+ */
 public final class PlatformEngineStandIn implements AutoCloseable {
+    private static final int LAYERS = 16;
+
     private final StandInServer server;
     private final String model;
-    private final Map<Integer, byte[]> staged = new HashMap<>();
+    private final CallFaults faults = new CallFaults();
+    private final Map<Integer, StagedPiece> staged = new HashMap<>();
     private final List<Long> loadedVersions = new CopyOnWriteArrayList<>();
+    private Duration loadTime = Duration.ZERO;
     private long version;
+    private Map<Integer, TakenLayer> layers = Map.of();
+
+    /** The layers that are loaded besides the kept ones until the load is complete. */
+    private Map<Integer, TakenLayer> loading = Map.of();
+
+    private long loadedNanos = System.nanoTime();
     private long orderCount;
     private long startCount = 1;
+    private int readsUntilAction;
+    private Runnable actionAfterReads = () -> {};
 
-    private PlatformEngineStandIn(String model) {
+    private PlatformEngineStandIn(String ip, int port, String model) {
         this.model = model;
-        server = StandInServer.of(0, Faults.of(Map.of(), 1), Json::object)
+        server = StandInServer.of(ip, port, Faults.of(Map.of(), 1), Json::object)
                 .route("GET", "/-/report", this::report)
                 .route("PUT", "/-/stage-put/{model}", this::putStaged)
                 .route("GET", "/-/stage-get/{model}", this::getStaged)
@@ -33,7 +50,12 @@
 
     /** Starts an engine without weights on a free port. */
     public static PlatformEngineStandIn start(String model) {
-        PlatformEngineStandIn engine = new PlatformEngineStandIn(model);
+        return start("127.0.0.1", 0, model);
+    }
+
+    /** Starts an engine without weights at a loopback address. */
+    public static PlatformEngineStandIn start(String ip, int port, String model) {
+        PlatformEngineStandIn engine = new PlatformEngineStandIn(ip, port, model);
         engine.server.start();
         return engine;
     }
@@ -42,84 +64,210 @@
         return server.port();
     }
 
-    /** Returns the versions that the engine was ordered to load, in order. */
+    /** Returns the faults of the calls to this engine. */
+    public CallFaults faults() {
+        return faults;
+    }
+
+    /** Sets how long a load of the whole model takes; a part takes its share. */
+    public synchronized void setLoadTime(Duration time) {
+        loadTime = time;
+    }
+
+    /** Returns the versions that the engine was ordered to load whole, in order. */
     public List<Long> loadedVersions() {
         return List.copyOf(loadedVersions);
     }
 
     /** Returns a copy of the staged pieces. */
     public synchronized Map<Integer, byte[]> staged() {
-        return new HashMap<>(staged);
+        Map<Integer, byte[]> copy = new HashMap<>();
+        staged.forEach((index, piece) -> copy.put(index, piece.data()));
+        return copy;
     }
 
-    /** Flips a bit in a staged piece. */
+    /** Flips a bit in a staged piece, if there is one. */
     public synchronized void corruptStaged(int piece) {
-        byte[] data = staged.get(piece).clone();
-        data[0] ^= 1;
-        staged.put(piece, data);
+        staged.computeIfPresent(piece, (index, present) -> present.spoilt(System.nanoTime()));
+    }
+
+    /** Runs an action after the given number of further read-backs, before the last of them is answered. */
+    public synchronized void afterReads(int count, Runnable action) {
+        readsUntilAction = count;
+        actionAfterReads = action;
     }
 
     /** Simulates a restart: the loaded weights and the order count are lost, the staged pieces stay. */
     public synchronized void restart() {
         version = 0;
+        layers = Map.of();
+        loading = Map.of();
         orderCount = 0;
         startCount++;
     }
 
+    /** Simulates a loss of power: a restart that also loses the staged pieces. */
+    public synchronized void losePower() {
+        restart();
+        staged.clear();
+    }
+
+    /** Returns the version whose layers are all loaded, so that the engine makes tokens with it; 0 if none is. */
+    public synchronized long servedVersion() {
+        finishLoad();
+        return loading.isEmpty() && layers.size() == LAYERS ? version : 0;
+    }
+
+    /**
+     * Returns what is wrong with the layers that the engine has taken.
+     *
+     * @param pieceCount number of pieces of a version
+     * @param tolerance time for which a piece may have been bad when its layer was taken
+     */
+    public synchronized List<String> unsoundLayers(int pieceCount, Duration tolerance) {
+        List<String> faultyPieces = new ArrayList<>();
+        Map<Integer, TakenLayer> all = new HashMap<>(layers);
+        all.putAll(loading);
+        all.forEach((layer, taken) -> {
+            for (int piece = firstPiece(layer, pieceCount); piece < endPiece(layer, pieceCount); piece++) {
+                int index = piece;
+                StagedPiece.fault(
+                                taken.pieces().get(index),
+                                PlatformOriginStandIn.pieceOf(taken.version(), index),
+                                taken.takenNanos(),
+                                tolerance)
+                        .ifPresent(fault -> faultyPieces.add("layer " + layer + " of version " + taken.version()
+                                + ": piece " + index + " was " + fault));
+            }
+        });
+        return faultyPieces;
+    }
+
     @Override
     public void close() {
         server.close();
     }
 
-    private void report(Call call) throws IOException {
+    private static int firstPiece(int layer, int pieceCount) {
+        return layer * pieceCount / LAYERS;
+    }
+
+    private static int endPiece(int layer, int pieceCount) {
+        return ((layer + 1) * pieceCount + LAYERS - 1) / LAYERS;
+    }
+
+    private void report(Call call) throws IOException, InterruptedException {
+        faults.await(CallFaults.Kind.REPORT);
         ObjectNode report = Json.object();
         synchronized (this) {
-            report.put("phase", "both").put("busy", false).put("sequence", orderCount);
+            finishLoad();
+            report.put("phase", "both").put("busy", !loading.isEmpty()).put("sequence", orderCount);
             report.put("queued", 0).put("active", 0).put("born", startCount);
             report.putArray("models");
             if (version > 0) {
                 report.withArray("models").addObject().put("name", model).put("version", version);
-                report.putObject("layers").put("from", 0).put("target", 16).put("version", version);
-            } else {
+            }
+            if (layers.isEmpty()) {
                 report.putNull("layers");
+            } else {
+                report.putObject("layers")
+                        .put(
+                                "from",
+                                layers.keySet().stream().min(Integer::compare).orElseThrow())
+                        .put(
+                                "target",
+                                1
+                                        + layers.keySet().stream()
+                                                .max(Integer::compare)
+                                                .orElseThrow())
+                        .put("version", version);
             }
         }
         call.respond(200, report);
     }
 
-    private void putStaged(Call call) throws IOException {
+    private void finishLoad() {
+        if (!loading.isEmpty() && System.nanoTime() - loadedNanos >= 0) {
+            Map<Integer, TakenLayer> all = new HashMap<>(layers);
+            all.putAll(loading);
+            layers = all;
+            loading = Map.of();
+        }
+    }
+
+    private void putStaged(Call call) throws IOException, InterruptedException {
         byte[] data = call.body();
+        faults.await(CallFaults.Kind.STAGE);
         synchronized (this) {
-            staged.put((int) call.queryNumber("num", -1), data);
+            staged.put((int) call.queryNumber("num", -1), StagedPiece.staged(data));
         }
         call.respond(200, new byte[0]);
     }
 
-    private void getStaged(Call call) throws IOException {
-        byte[] data;
+    private void getStaged(Call call) throws IOException, InterruptedException {
+        faults.await(CallFaults.Kind.READ_BACK);
+        StagedPiece piece;
+        Runnable action = () -> {};
         synchronized (this) {
-            data = staged.get((int) call.queryNumber("num", -1));
+            piece = staged.get((int) call.queryNumber("num", -1));
+            if (readsUntilAction > 0 && --readsUntilAction == 0) {
+                action = actionAfterReads;
+            }
         }
-        call.respond(data == null ? 404 : 200, data == null ? new byte[0] : Arrays.copyOf(data, data.length));
+        action.run();
+        call.respond(
+                piece == null ? 404 : 200,
+                piece == null ? new byte[0] : Arrays.copyOf(piece.data(), piece.data().length));
     }
 
-    private void order(Call call) throws IOException {
+    private void order(Call call) throws IOException, InterruptedException {
         ObjectNode order = call.jsonBody();
+        faults.await(CallFaults.Kind.ORDER);
         int status;
         synchronized (this) {
+            finishLoad();
+            boolean sequenceDiffers =
+                    order.has("precondition") && order.path("precondition").asLong() != orderCount;
             if (!order.path("operation").asText().equals("start")) {
                 status = 400;
-            } else if (order.has("precondition") && order.path("precondition").asLong() != orderCount) {
+            } else if (sequenceDiffers || !loading.isEmpty()) {
                 status = 409;
-            } else if (order.path("version").asLong() == version) {
-                status = 200;
             } else {
-                version = order.path("version").asLong();
-                orderCount++;
-                loadedVersions.add(version);
-                status = 202;
+                int from = order.path("from").asInt(0);
+                int target = order.path("target").asInt(LAYERS);
+                status = take(order.path("version").asLong(), from, target) ? 202 : 200;
             }
         }
         call.respond(status, new byte[0]);
     }
+
+    /** Keeps the layers in the range that are loaded and takes the others; returns whether that changes anything. */
+    private boolean take(long newVersion, int from, int target) {
+        Map<Integer, TakenLayer> kept = new HashMap<>(newVersion == version ? layers : Map.of());
+        kept.keySet().removeIf(layer -> layer < from || layer >= target);
+        Map<Integer, TakenLayer> taken = new HashMap<>();
+        Map<Integer, StagedPiece> pieces = Map.copyOf(staged);
+        long now = System.nanoTime();
+        for (int layer = from; layer < target; layer++) {
+            if (!kept.containsKey(layer)) {
+                taken.put(layer, new TakenLayer(newVersion, now, pieces));
+            }
+        }
+        if (taken.isEmpty() && kept.size() == layers.size()) {
+            return false;
+        }
+        version = newVersion;
+        layers = kept;
+        loading = taken;
+        loadedNanos = now + loadTime.toNanos() * taken.size() / LAYERS;
+        orderCount++;
+        if (target - from == LAYERS) {
+            loadedVersions.add(version);
+        }
+        finishLoad();
+        return true;
+    }
+
+    /** A layer, with the staged pieces of the moment at which it was taken. */
+    private record TakenLayer(long version, long takenNanos, Map<Integer, StagedPiece> pieces) {}
 }
