--- a/standins/src/main/java/org/masticcroft/standins/platform/CallFaults.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/CallFaults.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -13,7 +15,11 @@
  * still. A call that is handled late takes effect then, also if its caller has given it up.
  */
 public final class CallFaults {
+    /** Longest time for which a call is held that is not released. */
+    private static final Duration MAX_HOLD = Duration.ofSeconds(30);
+
     private final Map<Kind, Deque<Duration>> lateCalls = new EnumMap<>(Kind.class);
+    private final Map<Kind, Deque<CountDownLatch>> heldCalls = new EnumMap<>(Kind.class);
     private final Lock bandwidth = new ReentrantLock();
     private Duration readTime = Duration.ZERO;
     private boolean readsShareBandwidth;
@@ -22,6 +28,7 @@
     CallFaults() {
         for (Kind kind : Kind.values()) {
             lateCalls.put(kind, new ArrayDeque<>());
+            heldCalls.put(kind, new ArrayDeque<>());
         }
     }
 
@@ -42,6 +49,13 @@
         lateCalls.get(kind).addLast(delay);
     }
 
+    /** Holds the next call of a kind; returns the action that lets the engine handle it. */
+    public synchronized Runnable holdNext(Kind kind) {
+        CountDownLatch released = new CountDownLatch(1);
+        heldCalls.get(kind).addLast(released);
+        return released::countDown;
+    }
+
     /** Handles no call until this time is over. */
     public synchronized void standStill(Duration time) {
         stillUntilNanos = System.nanoTime() + time.toNanos();
@@ -49,10 +63,12 @@
 
     /** Waits as the faults require before a call is handled. */
     void await(Kind kind) throws InterruptedException {
+        CountDownLatch held;
         Duration late;
         Duration ownTime;
         boolean shared;
         synchronized (this) {
+            held = heldCalls.get(kind).pollFirst();
             Duration next = lateCalls.get(kind).pollFirst();
             late = next == null ? Duration.ZERO : next;
             ownTime = kind == Kind.READ_BACK ? readTime : Duration.ZERO;
@@ -69,6 +85,9 @@
             sleep(ownTime);
         }
         sleep(late);
+        if (held != null) {
+            held.await(MAX_HOLD.toMillis(), TimeUnit.MILLISECONDS);
+        }
         awaitMotion();
     }
 
