Confirm each load by reading the staged pieces back once the engine has accepted it

Seen by callers: tokens of layers that were taken with a piece that had been bad for more than 3 s, or was of another version (WHOLE).

Cause: a read-back that matched counted until the order was accepted, whatever time lay between: the read-backs of the other pieces, a pause of the sidecar, an order that the engine handles late. Nothing was looked at after the order.

Change: the time of each read-back is kept, on both clocks; those older than 1.5 s (the tolerance of 3 s less the timeout of an order and a margin) are repeated once before the order, and read-backs run more at a time if the engine answers slowly. Once the engine has accepted an order, the sidecar reads all staged pieces back and stages nothing meanwhile. A piece that still matches was sound when it was taken, however late the order came; one that was uploaded again since the order is not believed. Unsound layers are given up (the engine is told to keep another one) and loaded again. An order without an answer keeps its pieces and its target until a report shows whether it was accepted. From the order to the end of the confirmation the sidecar reports the engine as loading, so that entries send it nothing; they believe this report for 6 s if the sidecar falls silent, and prefer a recent report to the list.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -24,6 +24,12 @@
     /** Age up to which a load report shows that the process is alive; reports come at least every 600 ms. */
     private static final Duration MAX_ALIVE_REPORT_AGE = Duration.ofMillis(1000);
 
+    /**
+     * Age up to which a report of a load keeps requests away. A sidecar that falls silent amid a load may stand still
+     * or be restarted, which takes some seconds, and nothing else tells whether the loaded weights are sound.
+     */
+    private static final Duration MAX_LOADING_REPORT_AGE = Duration.ofSeconds(6);
+
     /** Maximum doublings of the pause after a refusal; an engine that loads weights refuses for one to two seconds. */
     private static final int MAX_PAUSE_DOUBLINGS = 3;
 
@@ -113,9 +119,9 @@
         return servedVersion;
     }
 
-    /** Returns whether the upstream loads weights and accepts no new requests. */
+    /** Returns whether the upstream loads weights, or has loaded weights that may be unsound, and gets no requests. */
     public boolean loading(long nowNanos) {
-        return reportIsFresh(nowNanos) && report.loading();
+        return report != null && report.loading() && nowNanos - reportNanos < MAX_LOADING_REPORT_AGE.toNanos();
     }
 
     /** Returns the factor by which the upstream is slower than its cost model; 1 if no recent report states it. */
@@ -164,14 +170,16 @@
         return removedNanos;
     }
 
-    void updateListing(UpstreamListing newListing) {
+    /** Applies a newer listing. A recent report prevails, since only the sidecar knows whether weights are sound. */
+    void updateListing(UpstreamListing newListing, long nowNanos) {
         listing = newListing;
         if (removed) {
             // It has come back since it left.
             saysLeaving = false;
         }
         removed = false;
-        if (newListing.loadedVersion().isPresent() || report == null) {
+        boolean listedVersionCounts = newListing.loadedVersion().isPresent() && !reportedAlive(nowNanos);
+        if (listedVersionCounts || report == null) {
             servedVersion = newListing.loadedVersion();
         }
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
@@ -9,7 +9,8 @@
  * @param startMillis start of the engine, in milliseconds of Unix time
  * @param running requests in execution
  * @param queued requests that wait in the queue of the engine
- * @param loading whether the engine is loading weights and accepts no new requests
+ * @param loading whether the engine is loading weights, or has loaded weights that may be unsound, and must get no new
+ *     requests
  * @param servedVersion version of the weights that the engine serves; empty if none
  * @param pace factor by which the engine is slower than its cost model, 1 or more
  */
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -248,8 +248,10 @@
         }
         long now = time.nanoTime();
         subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
-        int loadHash = Objects.hash(
-                report.running(), report.queued(), report.busy(), report.loadedVersion(), (int) (2 * report.pace()));
+        boolean inDoubt = updater.loadInDoubt();
+        int loadHash =
+                Objects.hash(report.running(), report.queued(), report.busy(), report.loadedVersion(), inDoubt, (int)
+                        (2 * report.pace()));
         if (loadHash == sentLoadHash && ++unchangedReports < MAX_UNCHANGED_REPORTS) {
             return;
         }
@@ -261,8 +263,8 @@
                 .setPort(settings.engine().orElseThrow().port())
                 .setRunning(report.running())
                 .setQueued(report.queued())
-                .setLoading(report.busy())
-                .setServedVersion(report.loadedVersion().orElse(0))
+                .setLoading(report.busy() || inDoubt)
+                .setServedVersion(inDoubt ? 0 : report.loadedVersion().orElse(0))
                 .setPace((float) report.pace());
         updater.newestNamedVersion()
                 .ifPresent(named -> load.addNamed(
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -1,13 +1,20 @@
 package org.masticcroft.gateway.weights;
 
 import java.time.Duration;
-import java.util.function.Supplier;
+import java.util.BitSet;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.metrics.WeightsMetrics;
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.time.TimeSource;
 
-/** Orders the engine to load the staged weights after all of them have been read back and verified. */
+/**
+ * Orders the engine to load the staged weights after all of them have been read back and verified, and reads them back
+ * once more after the engine has accepted the order. Only that shows what the engine took, because an order may reach
+ * it late. The load is in doubt from the order to the end of this confirmation. Layers that turn out to be unsound are
+ * given up and loaded again.
+ */
 final class EngineLoader {
     /** Time for which an order is not repeated while no report shows its effect. */
     private static final Duration REPEAT_DELAY = Duration.ofMillis(600);
@@ -16,89 +23,276 @@
     private final TimeSource time;
     private final DecisionLog log;
     private final WeightsMetrics metrics;
+    private Phase phase = Phase.SETTLED;
+    private Optional<EngineReport> report = Optional.empty();
+    private boolean verificationWanted;
+
+    private Optional<LoadOrder> lastOrder = Optional.empty();
+    private boolean orderInFlight;
+
+    /** The first of the orders without an answer, of which the engine may have accepted one or may do so later. */
+    private Optional<LoadOrder> unanswered = Optional.empty();
+
     private boolean orderSent;
-    private long orderSentNanos;
-    private long requestedVersion;
-    private long begunVersion;
+    private Moment orderSentAt;
+
+    private Optional<LoadConfirmation> confirmation = Optional.empty();
+
+    /** Version whose load was confirmed last; 0 if none was since the start of the engine. */
+    private long confirmedVersion;
+
+    private BitSet unsoundPieces = new BitSet();
+
+    /** The loaded layers that may have been unsound when they were taken, and their version. */
+    private BitSet unsoundLayers = new BitSet();
+
+    private long unsoundVersion;
 
     EngineLoader(LocalEngine engine, TimeSource time, DecisionLog log, WeightsMetrics metrics) {
         this.engine = engine;
         this.time = time;
         this.log = log;
         this.metrics = metrics;
+        this.orderSentAt = Moment.now(time);
     }
 
-    /** Discards the state of the last order, because the engine has restarted or the target version has changed. */
-    void reset() {
+    /** Orders no load on the verification in progress, because the target version has changed. */
+    void cancelVerification() {
+        verificationWanted = false;
         orderSent = false;
-        requestedVersion = 0;
-        begunVersion = 0;
     }
 
-    /** Returns whether the engine has accepted the order to load a version; it no longer needs the staged pieces. */
-    boolean begun(long version) {
-        return begunVersion == version;
+    /** Returns whether the engine has loaded a version, and soundly; it no longer needs the staged pieces. */
+    boolean confirmed(long version) {
+        return confirmedVersion == version;
+    }
+
+    /** Returns whether the engine may have taken unsound layers, so that it must get no requests. */
+    boolean inDoubt() {
+        return phase != Phase.SETTLED;
+    }
+
+    /** Returns whether the staged pieces must stay as they are, because the engine may take or has just taken them. */
+    boolean needsStagedPieces() {
+        return phase == Phase.ORDERED || phase == Phase.CONFIRMING;
+    }
+
+    /** Applies a report of the engine, which may show that it has restarted or has accepted an unanswered order. */
+    void applyReport(EngineReport newReport) {
+        boolean restarted = report.isPresent() && report.get().startMillis() != newReport.startMillis();
+        report = Optional.of(newReport);
+        if (restarted) {
+            forgetOrders();
+            return;
+        }
+        boolean acceptedUnanswered = unanswered
+                .filter(first -> newReport.ordersBegun() > first.ordersBegun())
+                .isPresent();
+        if (phase == Phase.ORDERED && !orderInFlight && acceptedUnanswered) {
+            writeOutcome(unanswered.get(), "ACCEPTED_UNANSWERED");
+            confirm(unanswered.get());
+        }
+        confirmation.ifPresent(LoadConfirmation::resume);
+        if (phase == Phase.UNSOUND) {
+            giveUpUnsoundLayers(newReport);
+        }
     }
 
     /**
      * Verifies the staged pieces and then sends the order. Does nothing if the engine is busy, if an order was sent
-     * recently, or if the staged pieces are incomplete or being verified.
+     * recently, if a load is being confirmed, or if the staged pieces are incomplete or being verified.
      *
      * @param staging staging area of the engine
-     * @param model name of the model
-     * @param version version of the staged pieces
-     * @param report returns the newest report of the engine
      */
-    void loadWhenReady(EngineStaging staging, String model, long version, Supplier<EngineReport> report) {
-        boolean sentRecently = orderSent && time.since(orderSentNanos).compareTo(REPEAT_DELAY) < 0;
-        if (report.get().busy() || sentRecently || staging.verifying() || !staging.complete()) {
+    void loadWhenReady(EngineStaging staging) {
+        if (report.isEmpty()
+                || !mayOrder(staging.manifest().version())
+                || sentRecently()
+                || staging.verifying()
+                || !staging.complete()) {
             return;
         }
-        requestedVersion = version;
-        staging.verify(() -> sendOrder(staging, model, version, report));
+        verificationWanted = true;
+        long startMillis = report.get().startMillis();
+        staging.verify(() -> sendOrder(staging, startMillis));
+    }
+
+    /** Returns whether the engine could load a version now; unsound layers of it have to be given up first. */
+    private boolean mayOrder(long version) {
+        boolean unsoundLoaded = phase == Phase.UNSOUND && isLoaded(unsoundVersion) && version == unsoundVersion;
+        return !report.get().busy() && !orderInFlight && phase != Phase.CONFIRMING && !unsoundLoaded;
+    }
+
+    private boolean isLoaded(long version) {
+        return report.get().loadedVersion().equals(OptionalLong.of(version));
+    }
+
+    private boolean sentRecently() {
+        return orderSent && orderSentAt.age(time).compareTo(REPEAT_DELAY) < 0;
     }
 
-    private void sendOrder(EngineStaging staging, String model, long version, Supplier<EngineReport> report) {
-        if (requestedVersion != version || report.get().busy()) {
+    private void sendOrder(EngineStaging staging, long startMillis) {
+        boolean sameProcess = report.get().startMillis() == startMillis;
+        if (!verificationWanted || !sameProcess || !mayOrder(staging.manifest().version())) {
             return;
         }
         orderSent = true;
-        orderSentNanos = time.nanoTime();
-        long sentNanos = orderSentNanos;
+        orderSentAt = Moment.now(time);
+        phase = Phase.ORDERED;
+        orderInFlight = true;
+        LoadOrder sent = new LoadOrder(staging, report.get().ordersBegun(), orderSentAt);
+        lastOrder = Optional.of(sent);
         engine.load(
-                model,
-                version,
-                report.get().ordersBegun(),
-                outcome -> recordOutcome(
-                        staging, model, version, report.get().ordersBegun(), time.since(sentNanos), outcome));
-    }
-
-    private void recordOutcome(
-            EngineStaging staging,
-            String model,
-            long version,
-            long ordersBegun,
-            Duration sinceSent,
-            LocalEngine.OrderOutcome outcome) {
-        metrics.ordered(outcome.name(), staging.oldestReadBackAge());
+                staging.manifest().model(),
+                staging.manifest().version(),
+                sent.ordersBegun(),
+                outcome -> applyOutcome(sent, outcome));
+    }
+
+    private void applyOutcome(LoadOrder sent, LocalEngine.OrderOutcome outcome) {
+        metrics.ordered(outcome.name(), sent.staging().oldestReadBackAge());
+        writeOutcome(sent, outcome.name());
+        if (lastOrder.filter(newest -> newest == sent).isEmpty()) {
+            // The engine has restarted since.
+            return;
+        }
+        orderInFlight = false;
         if (outcome == LocalEngine.OrderOutcome.BEGUN) {
-            begunVersion = version;
+            confirm(sent);
+        } else if (outcome == LocalEngine.OrderOutcome.UNKNOWN) {
+            unanswered = unanswered.or(() -> Optional.of(sent));
+        } else if (unanswered.isEmpty()) {
+            settle();
         }
+    }
+
+    /** Reads the staged pieces back; those uploaded since the order was sent may have been bad when it was accepted. */
+    private void confirm(LoadOrder accepted) {
+        phase = Phase.CONFIRMING;
+        unanswered = Optional.empty();
+        if (accepted.version() != unsoundVersion) {
+            unsoundPieces = new BitSet();
+            unsoundLayers = new BitSet();
+        }
+        unsoundVersion = accepted.version();
+        confirmation = Optional.of(LoadConfirmation.start(
+                engine, accepted.staging().manifest(), time, unsound -> applyConfirmation(accepted, unsound)));
+    }
+
+    private void applyConfirmation(LoadOrder accepted, BitSet unsound) {
+        long tookMillis = confirmation.get().started().age(time).toMillis();
+        confirmation = Optional.empty();
+        unsound.or(accepted.staging().uploadedSince(accepted.sentAt()));
+        unsoundPieces = unsound;
+        log.write(
+                unsound.isEmpty() ? Event.LOAD_CONFIRMED : Event.LOAD_UNSOUND,
+                "version",
+                accepted.version(),
+                "pieces",
+                unsound,
+                "took_ms",
+                tookMillis,
+                "since_order_ms",
+                accepted.sentAt().age(time).toMillis());
+        settle();
+        if (phase == Phase.SETTLED) {
+            confirmedVersion = accepted.version();
+        }
+    }
+
+    /** Ends the doubt about a load, unless the engine still holds layers that were unsound. */
+    private void settle() {
+        phase = unsoundPieces.isEmpty() && unsoundLayers.isEmpty() ? Phase.SETTLED : Phase.UNSOUND;
+    }
+
+    /** Makes the engine keep one layer only; the others are then missing and are loaded again. */
+    private void giveUpUnsoundLayers(EngineReport newReport) {
+        LayerRange loaded = newReport.loadedLayers();
+        if (!isLoaded(unsoundVersion)) {
+            unsoundLayers.clear(0, loaded.from());
+            unsoundLayers.clear(loaded.end(), Math.max(loaded.end(), unsoundLayers.length()));
+            return;
+        }
+        if (newReport.busy() || sentRecently()) {
+            return;
+        }
+        unsoundLayers.or(loaded.needing(
+                unsoundPieces, lastOrder.get().staging().manifest().pieceCount()));
+        unsoundPieces = new BitSet();
+        // The first layer is not kept: an engine that holds the first layers counts as one that holds all of them.
+        int firstSound = unsoundLayers.nextClearBit(1);
+        LayerRange kept = LayerRange.of(Math.min(firstSound, loaded.end() - 1));
+        orderSent = true;
+        orderSentAt = Moment.now(time);
+        engine.keepLayers(
+                newReport.model(),
+                unsoundVersion,
+                kept,
+                newReport.ordersBegun(),
+                outcome -> log.write(
+                        Event.ENGINE_ORDER,
+                        "order",
+                        "keep-layers",
+                        "model",
+                        newReport.model(),
+                        "version",
+                        unsoundVersion,
+                        "layers",
+                        kept,
+                        "unsound",
+                        unsoundLayers,
+                        "outcome",
+                        outcome));
+    }
+
+    private void forgetOrders() {
+        phase = Phase.SETTLED;
+        lastOrder = Optional.empty();
+        orderInFlight = false;
+        unanswered = Optional.empty();
+        orderSent = false;
+        verificationWanted = false;
+        confirmedVersion = 0;
+        confirmation.ifPresent(LoadConfirmation::cancel);
+        confirmation = Optional.empty();
+        unsoundPieces = new BitSet();
+        unsoundLayers = new BitSet();
+    }
+
+    private void writeOutcome(LoadOrder sent, String outcome) {
         log.write(
                 Event.ENGINE_ORDER,
                 "order",
                 "load",
                 "model",
-                model,
+                sent.staging().manifest().model(),
                 "version",
-                version,
+                sent.version(),
                 "orders",
-                ordersBegun,
+                sent.ordersBegun(),
                 "outcome",
                 outcome,
                 "sent_ms",
-                sinceSent.toMillis(),
+                sent.sentAt().age(time).toMillis(),
                 "read_back_ms",
-                staging.oldestReadBackAge().toMillis());
+                sent.staging().oldestReadBackAge().toMillis());
+    }
+
+    /** State of the last load. */
+    private enum Phase {
+        /** The engine has taken nothing that is in doubt. */
+        SETTLED,
+        /** An order was sent; the engine has not shown whether it accepts it. */
+        ORDERED,
+        /** The engine has accepted the order, and the staged pieces are being read back. */
+        CONFIRMING,
+        /** The engine has taken unsound layers. */
+        UNSOUND
+    }
+
+    private record LoadOrder(EngineStaging staging, long ordersBegun, Moment sentAt) {
+        private long version() {
+            return staging.manifest().version();
+        }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineReport.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineReport.java
@@ -13,6 +13,7 @@
  * @param busy whether an order is in progress
  * @param model name of the model that it serves; an empty string if none
  * @param loadedVersion version of the weights loaded in all layers; empty if none is loaded
+ * @param loadedLayers layers that are loaded, of whichever version
  * @param pace factor by which the engine is slower than its cost model; 1 if it states none
  */
 public record EngineReport(
@@ -23,9 +24,11 @@
         boolean busy,
         String model,
         OptionalLong loadedVersion,
+        LayerRange loadedLayers,
         double pace) {
     public EngineReport {
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(loadedVersion, "loadedVersion");
+        Objects.requireNonNull(loadedLayers, "loadedLayers");
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Deque;
-import java.util.Optional;
+import java.util.stream.Stream;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.time.TimeSource;
@@ -14,23 +14,39 @@
  * back and verified before the engine is ordered to load them.
  */
 final class EngineStaging {
-    /** Maximum number of concurrent calls to the engine; the calls do not leave the machine. */
-    private static final int MAX_CALLS = 3;
+    /** Maximum number of concurrent uploads to the engine; they do not leave the machine. */
+    private static final int MAX_UPLOADS = 3;
+
+    /**
+     * Rounds of read-backs of a verification. The second one repeats those that became too old in the first. If the
+     * engine is too slow for that, further rounds would not help.
+     */
+    private static final int MAX_ROUNDS = 2;
 
     private final LocalEngine engine;
     private final VerifiedPieces pieces;
     private final TimeSource time;
     private final DecisionLog log;
-
-    /** When the last read-back of each piece that matched was requested. */
-    private final long[] readBackNanos;
-
     private final Deque<Integer> toStage = new ArrayDeque<>();
     private final Deque<Integer> toVerify = new ArrayDeque<>();
     private final Runnable onStaged;
+    private final ReadBackLimit readBackLimit;
+
+    /** When the last read-back of each piece that matched was requested. */
+    private final Moment[] readBacks;
+
+    /** When the last upload of each piece was requested; null before the first one. */
+    private final Moment[] uploads;
+
     private Runnable onVerified = () -> {};
-    private int callsInFlight;
+    private int uploadsInFlight;
+    private int readsInFlight;
+    private int round;
     private boolean verifying;
+
+    /** Whether read-backs wait until the engine shows that it answers. */
+    private boolean readsPaused;
+
     private boolean cancelled;
     private int staged;
 
@@ -39,8 +55,14 @@
         this.pieces = pieces;
         this.time = time;
         this.log = log;
-        this.readBackNanos = new long[pieces.manifest().pieceCount()];
         this.onStaged = onStaged;
+        this.readBacks = new Moment[pieces.manifest().pieceCount()];
+        this.uploads = new Moment[readBacks.length];
+        this.readBackLimit = new ReadBackLimit(readBacks.length, engine.maxReadBackAge());
+    }
+
+    Manifest manifest() {
+        return pieces.manifest();
     }
 
     /** Queues a verified piece for staging. */
@@ -59,9 +81,31 @@
         return verifying;
     }
 
-    /** Returns the time since the engine was asked for the first of the pieces of the last verification. */
+    /** Returns the time since the engine was asked for the oldest of the read-backs of the last verification. */
     Duration oldestReadBackAge() {
-        return time.since(Arrays.stream(readBackNanos).min().orElse(time.nanoTime()));
+        return Stream.of(readBacks)
+                .map(readBack -> readBack.age(time))
+                .max(Duration::compareTo)
+                .orElse(Duration.ZERO);
+    }
+
+    /** Returns the pieces that have been uploaded since a moment. */
+    BitSet uploadedSince(Moment start) {
+        BitSet uploaded = new BitSet();
+        for (int index = 0; index < uploads.length; index++) {
+            if (uploads[index] != null && uploads[index].nanos() - start.nanos() >= 0) {
+                uploaded.set(index);
+            }
+        }
+        return uploaded;
+    }
+
+    /** Repeats the read-backs that the engine has not answered; to be called when it has shown that it answers. */
+    void resume() {
+        if (readsPaused) {
+            readsPaused = false;
+            startCalls();
+        }
     }
 
     /** Starts no further calls to the engine and runs no callback. */
@@ -75,6 +119,7 @@
     void verify(Runnable onSuccess) {
         verifying = true;
         onVerified = onSuccess;
+        round = 1;
         for (int index = 0; index < pieces.manifest().pieceCount(); index++) {
             toVerify.addLast(index);
         }
@@ -82,30 +127,47 @@
     }
 
     private void startCalls() {
-        while (!cancelled && callsInFlight < MAX_CALLS && !(toStage.isEmpty() && toVerify.isEmpty())) {
-            callsInFlight++;
-            if (toStage.isEmpty()) {
-                int index = toVerify.removeFirst();
-                long requestedNanos = time.nanoTime();
-                engine.readStaged(
-                        pieces.manifest().model(), index, data -> readBackCompleted(index, requestedNanos, data));
-            } else {
-                int index = toStage.removeFirst();
-                engine.stage(
-                        pieces.manifest().model(),
-                        index,
-                        pieces.piece(index),
-                        success -> stageCompleted(index, success));
-            }
+        while (!cancelled && !toStage.isEmpty() && uploadsInFlight < MAX_UPLOADS) {
+            uploadsInFlight++;
+            int index = toStage.removeFirst();
+            uploads[index] = Moment.now(time);
+            engine.stage(
+                    pieces.manifest().model(), index, pieces.piece(index), success -> stageCompleted(index, success));
         }
-        if (!cancelled && verifying && callsInFlight == 0 && toStage.isEmpty() && toVerify.isEmpty()) {
-            verifying = false;
-            onVerified.run();
+        while (!cancelled && !readsPaused && !toVerify.isEmpty() && readsInFlight < readBackLimit.value()) {
+            readsInFlight++;
+            int index = toVerify.removeFirst();
+            Moment requested = Moment.now(time);
+            engine.readStaged(pieces.manifest().model(), index, read -> readBackCompleted(index, requested, read));
+        }
+        if (!cancelled && verifying && idle()) {
+            completeRound();
         }
     }
 
+    private boolean idle() {
+        return uploadsInFlight == 0 && readsInFlight == 0 && toStage.isEmpty() && toVerify.isEmpty();
+    }
+
+    private void completeRound() {
+        if (round < MAX_ROUNDS) {
+            round++;
+            for (int index = 0; index < readBacks.length; index++) {
+                if (readBacks[index].age(time).compareTo(engine.maxReadBackAge()) > 0) {
+                    toVerify.addLast(index);
+                }
+            }
+            if (!toVerify.isEmpty()) {
+                startCalls();
+                return;
+            }
+        }
+        verifying = false;
+        onVerified.run();
+    }
+
     private void stageCompleted(int index, boolean success) {
-        callsInFlight--;
+        uploadsInFlight--;
         if (!success) {
             toStage.addLast(index);
         } else if (verifying) {
@@ -119,11 +181,16 @@
         startCalls();
     }
 
-    private void readBackCompleted(int index, long requestedNanos, Optional<byte[]> data) {
-        callsInFlight--;
-        boolean matches = data.isPresent() && pieces.manifest().matches(index, data.get());
+    private void readBackCompleted(int index, Moment requested, StagedRead read) {
+        readsInFlight--;
+        readBackLimit.record(requested.age(time));
+        boolean matches = read.data().isPresent()
+                && pieces.manifest().matches(index, read.data().get());
         if (matches) {
-            readBackNanos[index] = requestedNanos;
+            readBacks[index] = requested;
+        } else if (!read.answered()) {
+            toVerify.addLast(index);
+            readsPaused = true;
         } else {
             log.write(
                     Event.CHUNK_REJECTED,
@@ -134,7 +201,7 @@
                     "source",
                     "staging-area",
                     "reason",
-                    data.isPresent() ? "wrong-digest" : "not-given");
+                    read.data().isPresent() ? "wrong-digest" : "missing");
             toStage.addLast(index);
         }
         startCalls();
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/StagedPieceReader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/StagedPieceReader.java
@@ -41,8 +41,8 @@
                     pieces.bitmap().cardinality());
             return;
         }
-        engine.readStaged(pieces.manifest().model(), index, data -> {
-            data.ifPresent(bytes -> pieces.add(index, bytes));
+        engine.readStaged(pieces.manifest().model(), index, read -> {
+            read.data().ifPresent(bytes -> pieces.add(index, bytes));
             readNext(pieces, pieces.bitmap().nextClearBit(index + 1), currentPieces);
         });
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -110,11 +110,7 @@
         this.loader = new EngineLoader(engine, time, log, weightsMetrics);
         this.turns = new RegionTurns(settings, peers, time, log);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newestNamed);
-        metrics.gauge(
-                Series.of("masticcroft_weights_loaded_version"),
-                () -> report.map(EngineReport::loadedVersion)
-                        .orElse(OptionalLong.empty())
-                        .orElse(0));
+        metrics.gauge(Series.of("masticcroft_weights_loaded_version"), this::loadedVersion);
         metrics.gauge(
                 Series.of("masticcroft_weights_pieces_held"),
                 () -> pieces.map(current -> current.bitmap().cardinality()).orElse(0));
@@ -192,8 +188,9 @@
         boolean restarted = report.isPresent() && report.get().startMillis() != newReport.startMillis();
         if (restarted) {
             log.write(Event.ENGINE_RESTARTED, "start", newReport.startMillis());
-            loader.reset();
         }
+        loader.applyReport(newReport);
+        staging.ifPresent(EngineStaging::resume);
         boolean versionChanged =
                 report.isEmpty() || !report.get().loadedVersion().equals(newReport.loadedVersion());
         if (versionChanged) {
@@ -309,7 +306,17 @@
         return config.get().models().stream().findFirst().orElse("");
     }
 
+    /** Returns whether the engine may hold unsound weights, so that it must get no requests. */
+    public boolean loadInDoubt() {
+        return loader.inDoubt();
+    }
+
+    /** Returns the version that the engine serves; 0 while it has none that is known to be sound. */
     private long servedVersion() {
+        return loader.inDoubt() ? 0 : loadedVersion();
+    }
+
+    private long loadedVersion() {
         return report.map(EngineReport::loadedVersion)
                 .orElse(OptionalLong.empty())
                 .orElse(0);
@@ -323,7 +330,7 @@
     }
 
     private void updateTarget() {
-        if (target == newestNamed) {
+        if (target == newestNamed || loader.needsStagedPieces()) {
             return;
         }
         if (pieces.isPresent() && finishesTarget(pieces.get())) {
@@ -337,7 +344,7 @@
         fetcher = Optional.empty();
         staging.ifPresent(EngineStaging::cancel);
         staging = Optional.empty();
-        loader.reset();
+        loader.cancelVerification();
         digestMismatches.clear();
         manifestFetcher.start(model, target);
     }
@@ -347,7 +354,7 @@
      * does so while its engines serve; the second half loads the newer version at once and so stops serving only once.
      */
     private boolean finishesTarget(VerifiedPieces current) {
-        if (isLoaded(target) || loader.begun(target)) {
+        if (isLoaded(target) || loader.confirmed(target)) {
             return false;
         }
         if (servedVersion() > 0 && turns.half() == LoadTurn.Half.SECOND) {
@@ -392,7 +399,7 @@
         if (pieces.isEmpty()) {
             pieces = Optional.of(VerifiedPieces.of(manifest));
             onManifestFound.run();
-        } else if (!pieces.get().manifest().equals(manifest)) {
+        } else if (!pieces.get().manifest().equals(manifest) && !loader.needsStagedPieces()) {
             replaceManifest(manifest);
         }
         digestMismatches.clear();
@@ -473,7 +480,7 @@
 
     private void orderLoad() {
         if (staging.isPresent() && pieces.get().complete() && turns.mayLoad(model, servedVersion(), target)) {
-            loader.loadWhenReady(staging.get(), model, target, report::get);
+            loader.loadWhenReady(staging.get());
         }
     }
 }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -30,7 +30,7 @@
     void getsNoRequestsOnceItSaysThatItLeaves() {
         assertThat(upstream.recordLeaving()).isTrue();
         assertThat(upstream.recordLeaving()).isFalse();
-        upstream.updateListing(upstream.listing());
+        upstream.updateListing(upstream.listing(), 0);
         assertThat(upstream.acceptsRequests(0)).isFalse();
     }
 
@@ -39,7 +39,7 @@
     void getsRequestsWhenItIsListedAgainAfterItLeft() {
         upstream.recordLeaving();
         upstream.remove(0);
-        upstream.updateListing(upstream.listing());
+        upstream.updateListing(upstream.listing(), 0);
         assertThat(upstream.acceptsRequests(0)).isTrue();
     }
 
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -44,6 +44,9 @@
     ENGINE_READY(1304, "The engine reports exactly the configured weights digest as loaded."),
     ENGINE_NOT_READY(1305, "The engine does not serve the configured weights digest any more."),
     LOAD_TURN(1306, "Complete weights are loaded now, or the engine goes on serving while others load; inputs given."),
+    LOAD_CONFIRMED(
+            1307, "The staged pieces were sound after the engine accepted the order, so it has loaded sound weights."),
+    LOAD_UNSOUND(1308, "Staged pieces were bad after the engine accepted the order; their layers are loaded again."),
     DISPATCH_REFUSED(1310, "A dispatch was refused before the upstream executed it; the code is given."),
     DISPATCH_FINISHED(1311, "A dispatch ended; verdict, code and byte count are given."),
     DISPATCH_DUPLICATE(1312, "A dispatch repeats a request id and attempt and was not run again."),
