Let only the report of a sidecar name a newer version of its engine

Seen by callers: none yet; found by the review. Tokens of a load that nobody had confirmed, if its sidecar was silent.

Cause: the list of engines, and any response, could raise the version that an entry sends to: the list after 1 s without a report, or 6 s after a report of a load, a refusal (421) at once. The engine writes both itself, and does not know whether its layers are sound.

Change: once a sidecar has reported on a process of an engine, only its reports name a newer version, and a report of a load counts until the next one or a new start.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -24,12 +24,6 @@
     /** Age up to which a load report shows that the process is alive; reports come at least every 600 ms. */
     private static final Duration MAX_ALIVE_REPORT_AGE = Duration.ofMillis(1000);
 
-    /**
-     * Age up to which a report of a load keeps requests away. A sidecar that falls silent amid a load may stand still
-     * or be restarted, which takes some seconds, and nothing else tells whether the loaded weights are sound.
-     */
-    private static final Duration MAX_LOADING_REPORT_AGE = Duration.ofSeconds(6);
-
     /** Maximum doublings of the pause after a refusal; an engine that loads weights refuses for one to two seconds. */
     private static final int MAX_PAUSE_DOUBLINGS = 3;
 
@@ -119,9 +113,12 @@
         return servedVersion;
     }
 
-    /** Returns whether the upstream loads weights, or has loaded weights that may be unsound, and gets no requests. */
-    public boolean loading(long nowNanos) {
-        return report != null && report.loading() && nowNanos - reportNanos < MAX_LOADING_REPORT_AGE.toNanos();
+    /**
+     * Returns whether the upstream loads weights, or has loaded weights that may be unsound, and gets no requests. A
+     * report of that counts until the next one, since only the sidecar can end the doubt.
+     */
+    public boolean loading() {
+        return report != null && report.loading();
     }
 
     /** Returns the factor by which the upstream is slower than its cost model; 1 if no recent report states it. */
@@ -170,16 +167,14 @@
         return removedNanos;
     }
 
-    /** Applies a newer listing. A recent report prevails, since only the sidecar knows whether weights are sound. */
-    void updateListing(UpstreamListing newListing, long nowNanos) {
+    void updateListing(UpstreamListing newListing) {
         listing = newListing;
         if (removed) {
             // It has come back since it left.
             saysLeaving = false;
         }
         removed = false;
-        boolean listedVersionCounts = newListing.loadedVersion().isPresent() && !reportedAlive(nowNanos);
-        if (listedVersionCounts || report == null) {
+        if (report == null) {
             servedVersion = newListing.loadedVersion();
         }
     }
@@ -196,10 +191,18 @@
         servedVersion = newReport.servedVersion();
     }
 
-    /** Records the version of the weights that a response, or the refusal of a request, states. */
+    /**
+     * Records the version of the weights that a response, or the refusal of a request, states. The upstream gets no
+     * requests for a newer version than its sidecar has reported, because the sidecar may not have confirmed it yet.
+     */
     public void updateServedVersion(OptionalLong version) {
-        if (version.isPresent()) {
+        if (version.isEmpty() || version.equals(servedVersion)) {
+            return;
+        }
+        if (report == null) {
             servedVersion = version;
+        } else if (version.getAsLong() > report.servedVersion().orElse(0)) {
+            servedVersion = OptionalLong.empty();
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -92,7 +92,7 @@
         return upstreams.stream()
                 .filter(upstream -> upstream.usable(nowNanos))
                 .anyMatch(upstream -> profile.isEmpty()
-                        || (!upstream.loading(nowNanos)
+                        || (!upstream.loading()
                                 && servesVersion(
                                         upstream, versions, untilBegin(0, upstream, profile.get(), nowNanos))));
     }
@@ -122,7 +122,7 @@
         int limit = request.rank().route() == 0 ? slots + FIRST_RANK_QUEUE_LIMIT : slots;
         Duration untilBegin = untilBegin(request.promptTokens(), upstream, profile.get(), nowNanos);
         return servesVersion(upstream, versions, untilBegin)
-                && !upstream.loading(nowNanos)
+                && !upstream.loading()
                 && upstream.load(nowNanos) < limit
                 && prefillFits(request, upstream, profile.get());
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -53,7 +53,7 @@
         if (known == null || known.listing().startMillis() != listing.startMillis()) {
             byId.put(listing.id(), Upstream.of(listing, nowNanos));
         } else {
-            known.updateListing(listing, nowNanos);
+            known.updateListing(listing);
         }
         log.write(
                 listing.leaving() ? Event.UPSTREAM_NOT_ROUTABLE : Event.UPSTREAM_ROUTABLE,
