Doubt loads that the sidecar can't account for, and tell entries at once

Seen by callers: none yet; found by the review, in tests: tokens of version 2 made of pieces of version 3, and of pieces spoilt for 4 s.

Cause: the doubt followed the orders of this process only. A load that an order of the process before it began, or one that the next process of the engine accepted (sequence 0 again), was not in doubt; any accepted order was taken for the unanswered one; a report without layers cleared the unsound ones; the confirmation had no end. Entries learnt of the doubt with the next report that the engine answered.

Change: the loader keeps the number of orders and the version at which the engine's layers were last known to be sound; whatever goes beyond that is given up and loaded again. A confirmation without an answer for 20 s counts as failed.

DoubtIsReportedTest (2): one failed before, both pass. WeightsInDoubtTest (7) and SidecarNodeTest (10) pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -100,6 +100,7 @@
     private final Map<Address, List<Long>> suspectsByEntry = new HashMap<>();
     private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
     private boolean reportPending;
+    private Optional<EngineReport> lastReport = Optional.empty();
     private boolean announcing;
     private final TakeTurns<String> regionRecipients = TakeTurns.of(MAX_RECIPIENTS);
     private final TakeTurns<String> otherRecipients = TakeTurns.of(MAX_RECIPIENTS);
@@ -127,7 +128,8 @@
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
         this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
-        this.updater = WeightsUpdater.of(settings, dependencies, engine, sources, metrics, this::announceManifest);
+        this.updater = WeightsUpdater.of(
+                settings, dependencies, engine, sources, metrics, this::announceManifest, this::sendLastLoad);
         this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::servePeer);
     }
 
@@ -236,16 +238,30 @@
             readUpstreams();
         }
         updater.tick();
+        if (updater.loadInDoubt()) {
+            // The engine may answer no reports, and entries have to know of the doubt all the same.
+            sendLastLoad();
+        }
         if (!announcing) {
             announcePieces();
         }
     }
 
     private void handleReport(EngineReport report) {
+        lastReport = Optional.of(report);
         updater.applyReport(report);
         if (report.busy()) {
             loop.schedule(this::readEngineReport, LOADING_REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
+        sendLoad(report);
+    }
+
+    private void sendLastLoad() {
+        lastReport.ifPresent(this::sendLoad);
+    }
+
+    /** Sends the load to the subscribed entries if it has changed, or from time to time. */
+    private void sendLoad(EngineReport report) {
         long now = time.nanoTime();
         subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
         boolean inDoubt = updater.loadInDoubt();
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -19,10 +19,14 @@
     /** Time for which an order is not repeated while no report shows its effect. */
     private static final Duration REPEAT_DELAY = Duration.ofMillis(600);
 
+    /** Longest time for which the engine may leave read-backs of a confirmation unanswered. */
+    private static final Duration MAX_CONFIRMATION_TIME = Duration.ofSeconds(20);
+
     private final LocalEngine engine;
     private final TimeSource time;
     private final DecisionLog log;
     private final WeightsMetrics metrics;
+    private final Runnable onDoubt;
     private Phase phase = Phase.SETTLED;
     private Optional<EngineReport> report = Optional.empty();
     private boolean verificationWanted;
@@ -41,6 +45,12 @@
     /** Version whose load was confirmed last; 0 if none was since the start of the engine. */
     private long confirmedVersion;
 
+    /** Orders that the engine had accepted when what it held was last known to be sound. */
+    private long trustedOrders;
+
+    /** Version that it has loaded then; empty for whichever it has. */
+    private OptionalLong trustedVersion = OptionalLong.empty();
+
     private BitSet unsoundPieces = new BitSet();
 
     /** The loaded layers that may have been unsound when they were taken, and their version. */
@@ -48,11 +58,21 @@
 
     private long unsoundVersion;
 
-    EngineLoader(LocalEngine engine, TimeSource time, DecisionLog log, WeightsMetrics metrics) {
+    /**
+     * Creates a loader.
+     *
+     * @param engine the engine
+     * @param time time source
+     * @param log log of the process
+     * @param metrics metrics of the process
+     * @param onDoubt called before an order is sent, so that entries can be told that the load is in doubt
+     */
+    EngineLoader(LocalEngine engine, TimeSource time, DecisionLog log, WeightsMetrics metrics, Runnable onDoubt) {
         this.engine = engine;
         this.time = time;
         this.log = log;
         this.metrics = metrics;
+        this.onDoubt = onDoubt;
         this.orderSentAt = Moment.now(time);
     }
 
@@ -77,27 +97,61 @@
         return phase == Phase.ORDERED || phase == Phase.CONFIRMING;
     }
 
-    /** Applies a report of the engine, which may show that it has restarted or has accepted an unanswered order. */
+    /**
+     * Applies a report of the engine, which may show that it has restarted, or has accepted an order that it did not
+     * answer or that this process did not send. What it holds at the first report counts as sound, because an earlier
+     * process of this sidecar has ordered it.
+     */
     void applyReport(EngineReport newReport) {
-        boolean restarted = report.isPresent() && report.get().startMillis() != newReport.startMillis();
-        report = Optional.of(newReport);
-        if (restarted) {
+        if (report.isEmpty()) {
+            trustedOrders = newReport.ordersBegun();
+        } else if (report.get().startMillis() != newReport.startMillis()) {
             forgetOrders();
-            return;
         }
+        report = Optional.of(newReport);
         boolean acceptedUnanswered = unanswered
                 .filter(first -> newReport.ordersBegun() > first.ordersBegun())
                 .isPresent();
         if (phase == Phase.ORDERED && !orderInFlight && acceptedUnanswered) {
             writeOutcome(unanswered.get(), "ACCEPTED_UNANSWERED");
             confirm(unanswered.get());
+        } else if (phase == Phase.SETTLED && holdsUnknownLoad(newReport)) {
+            log.write(
+                    Event.LOAD_UNSOUND,
+                    "version",
+                    newReport.loadedVersion(),
+                    "orders",
+                    newReport.ordersBegun(),
+                    "trusted_orders",
+                    trustedOrders,
+                    "trusted_version",
+                    trustedVersion);
+            phase = Phase.UNSOUND;
+            unsoundVersion = 0;
         }
         confirmation.ifPresent(LoadConfirmation::resume);
+        boolean unconfirmable = confirmation
+                .filter(current -> current.started().age(time).compareTo(MAX_CONFIRMATION_TIME) > 0)
+                .isPresent();
+        if (unconfirmable) {
+            confirmation.get().cancel();
+            confirmation = Optional.empty();
+            phase = Phase.UNSOUND;
+            unsoundVersion = 0;
+        }
         if (phase == Phase.UNSOUND) {
             giveUpUnsoundLayers(newReport);
         }
     }
 
+    /** Returns whether the engine has accepted an order of which this process does not know that it was sound. */
+    private boolean holdsUnknownLoad(EngineReport newReport) {
+        boolean otherVersion = trustedVersion.isPresent()
+                && newReport.loadedVersion().isPresent()
+                && !newReport.loadedVersion().equals(trustedVersion);
+        return newReport.ordersBegun() > trustedOrders || (newReport.ordersBegun() == trustedOrders && otherVersion);
+    }
+
     /**
      * Verifies the staged pieces and then sends the order. Does nothing if the engine is busy, if an order was sent
      * recently, if a load is being confirmed, or if the staged pieces are incomplete or being verified.
@@ -142,6 +196,7 @@
         orderInFlight = true;
         LoadOrder sent = new LoadOrder(staging, report.get().ordersBegun(), orderSentAt);
         lastOrder = Optional.of(sent);
+        onDoubt.run();
         engine.load(
                 staging.manifest().model(),
                 staging.manifest().version(),
@@ -194,6 +249,10 @@
                 tookMillis,
                 "since_order_ms",
                 accepted.sentAt().age(time).toMillis());
+        if (unsound.isEmpty()) {
+            trustedOrders = accepted.ordersBegun() + 1;
+            trustedVersion = OptionalLong.of(accepted.version());
+        }
         settle();
         if (phase == Phase.SETTLED) {
             confirmedVersion = accepted.version();
@@ -208,16 +267,23 @@
     /** Makes the engine keep one layer only; the others are then missing and are loaded again. */
     private void giveUpUnsoundLayers(EngineReport newReport) {
         LayerRange loaded = newReport.loadedLayers();
-        if (!isLoaded(unsoundVersion)) {
-            unsoundLayers.clear(0, loaded.from());
-            unsoundLayers.clear(loaded.end(), Math.max(loaded.end(), unsoundLayers.length()));
+        if (newReport.busy()) {
             return;
         }
-        if (newReport.busy() || sentRecently()) {
+        if (newReport.loadedVersion().isEmpty()) {
+            forgetUnsoundOutside(loaded);
             return;
         }
-        unsoundLayers.or(loaded.needing(
-                unsoundPieces, lastOrder.get().staging().manifest().pieceCount()));
+        if (loaded.end() < 2 || sentRecently()) {
+            return;
+        }
+        if (isLoaded(unsoundVersion)) {
+            unsoundLayers.or(loaded.needing(
+                    unsoundPieces, lastOrder.get().staging().manifest().pieceCount()));
+        } else {
+            unsoundLayers.set(0, loaded.end());
+            unsoundVersion = newReport.loadedVersion().getAsLong();
+        }
         unsoundPieces = new BitSet();
         // The first layer is not kept: an engine that holds the first layers counts as one that holds all of them.
         int firstSound = unsoundLayers.nextClearBit(1);
@@ -245,6 +311,11 @@
                         outcome));
     }
 
+    private void forgetUnsoundOutside(LayerRange loaded) {
+        unsoundLayers.clear(0, loaded.from());
+        unsoundLayers.clear(loaded.end(), Math.max(loaded.end(), unsoundLayers.length()));
+    }
+
     private void forgetOrders() {
         phase = Phase.SETTLED;
         lastOrder = Optional.empty();
@@ -253,6 +324,8 @@
         orderSent = false;
         verificationWanted = false;
         confirmedVersion = 0;
+        trustedOrders = 0;
+        trustedVersion = OptionalLong.empty();
         confirmation.ifPresent(LoadConfirmation::cancel);
         confirmation = Optional.empty();
         unsoundPieces = new BitSet();
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -95,7 +95,8 @@
             LocalEngine engine,
             WeightsSources sources,
             ProcessMetrics metrics,
-            Runnable onManifestFound) {
+            Runnable onManifestFound,
+            Runnable onDoubt) {
         this.settings = settings;
         this.time = dependencies.time();
         this.log = dependencies.log();
@@ -107,7 +108,7 @@
         this.manifestFetcher = new ManifestFetcher(time, log, sources, peers, random, settings.peerPort());
         this.weightsMetrics = WeightsMetrics.of(metrics);
         this.stagedReader = new StagedPieceReader(engine, log);
-        this.loader = new EngineLoader(engine, time, log, weightsMetrics);
+        this.loader = new EngineLoader(engine, time, log, weightsMetrics, onDoubt);
         this.turns = new RegionTurns(settings, peers, time, log);
         metrics.gauge(Series.of("masticcroft_weights_named_version"), () -> newestNamed);
         metrics.gauge(Series.of("masticcroft_weights_loaded_version"), this::loadedVersion);
@@ -126,6 +127,7 @@
      * @param metrics metrics of the process
      * @param onManifestFound called when the manifest of a version has been fetched, so that it can be announced to
      *     peers
+     * @param onDoubt called before an order is sent to the engine, so that entries can be told of the doubt
      */
     public static WeightsUpdater of(
             NodeSettings settings,
@@ -133,8 +135,9 @@
             LocalEngine engine,
             WeightsSources sources,
             ProcessMetrics metrics,
-            Runnable onManifestFound) {
-        return new WeightsUpdater(settings, dependencies, engine, sources, metrics, onManifestFound);
+            Runnable onManifestFound,
+            Runnable onDoubt) {
+        return new WeightsUpdater(settings, dependencies, engine, sources, metrics, onManifestFound, onDoubt);
     }
 
     /** Applies a version of the configuration. */
