Let the engine stand-in answer requests

A request makes a token if the engine has all layers of the version that it expects, else it is refused with 421 and Masticcroft-Not-Executed. A listener is told of tokens and of accepted orders. A restart now drops the calls that have not been handled, since the new process never sees them, and the list of an engine can be made from its report.

--- a/standins/src/main/java/org/masticcroft/standins/platform/CallFaults.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/CallFaults.java
@@ -61,6 +61,22 @@
         stillUntilNanos = System.nanoTime() + time.toNanos();
     }
 
+    /** Returns whether calls are not handled at present. */
+    public synchronized boolean standsStill() {
+        return stillUntilNanos - System.nanoTime() > 0;
+    }
+
+    /** Ends all faults, also those of calls that are waiting. */
+    public synchronized void clear() {
+        readTime = Duration.ZERO;
+        stillUntilNanos = System.nanoTime();
+        lateCalls.values().forEach(Deque::clear);
+        heldCalls.values().forEach(calls -> {
+            calls.forEach(CountDownLatch::countDown);
+            calls.clear();
+        });
+    }
+
     /** Waits as the faults require before a call is handled. */
     void await(Kind kind) throws InterruptedException {
         CountDownLatch held;
@@ -112,6 +128,7 @@
         REPORT,
         STAGE,
         READ_BACK,
-        ORDER
+        ORDER,
+        REQUEST
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/masticcroft/standins/platform/EngineListener.java
@@ -0,0 +1,33 @@
+package org.masticcroft.standins.platform;
+
+import java.time.Duration;
+
+/** Is told what an engine does, while the engine's state does not change. */
+public interface EngineListener {
+    /** Returns a listener that ignores everything. */
+    static EngineListener none() {
+        return new EngineListener() {
+            @Override
+            public void loadBegun(long version, Duration waited) {}
+
+            @Override
+            public void tokenMade(String attemptId, long version) {}
+        };
+    }
+
+    /**
+     * Called when the engine has accepted an order and taken its layers.
+     *
+     * @param version version of the weights
+     * @param waited time from the arrival of the order to its acceptance
+     */
+    void loadBegun(long version, Duration waited);
+
+    /**
+     * Called when a request makes a token.
+     *
+     * @param attemptId id of the caller's attempt
+     * @param version version of the weights that made the token
+     */
+    void tokenMade(String attemptId, long version);
+}
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformEngineStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformEngineStandIn.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,14 +10,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.IntConsumer;
 import org.masticcroft.standins.fault.Faults;
 import org.masticcroft.standins.http.Call;
 import org.masticcroft.standins.http.Json;
 import org.masticcroft.standins.http.StandInServer;
 
 /**
- * HTTP stand-in of the weights interface of an engine on the platform: report, staging area and orders. It takes layers
- * from its staging area as they are when it accepts an order, for the whole model or a part of its layers.
+ * HTTP stand-in of an engine on the platform: report, staging area, orders and requests. It takes layers from its
+ * staging area as they are when it accepts an order, for the whole model or a part of its layers. A request makes one
+ * token with the layers that are loaded.
  */
 public final class PlatformEngineStandIn implements AutoCloseable {
     private static final int LAYERS = 16;
@@ -37,7 +40,8 @@
     private long orderCount;
     private long startCount = 1;
     private int readsUntilAction;
-    private Runnable actionAfterReads = () -> {};
+    private IntConsumer actionAfterReads = piece -> {};
+    private volatile EngineListener listener = EngineListener.none();
 
     private PlatformEngineStandIn(String ip, int port, String model) {
         this.model = model;
@@ -45,7 +49,8 @@
                 .route("GET", "/-/report", this::report)
                 .route("PUT", "/-/stage-put/{model}", this::putStaged)
                 .route("GET", "/-/stage-get/{model}", this::getStaged)
-                .route("POST", "/-/order", this::order);
+                .route("POST", "/-/order", this::order)
+                .route("POST", "*", this::answer);
     }
 
     /** Starts an engine without weights on a free port. */
@@ -91,13 +96,26 @@
         staged.computeIfPresent(piece, (index, present) -> present.spoilt(System.nanoTime()));
     }
 
+    /** Sets what is told of accepted orders and tokens. */
+    public void setListener(EngineListener engineListener) {
+        listener = engineListener;
+    }
+
     /** Runs an action after the given number of further read-backs, before the last of them is answered. */
-    public synchronized void afterReads(int count, Runnable action) {
+    public void afterReads(int count, Runnable action) {
+        afterReads(count, piece -> action.run());
+    }
+
+    /** Does the same with an action that is given the piece that was read last. */
+    public synchronized void afterReads(int count, IntConsumer action) {
         readsUntilAction = count;
         actionAfterReads = action;
     }
 
-    /** Simulates a restart: the loaded weights and the order count are lost, the staged pieces stay. */
+    /**
+     * Simulates a restart: the loaded weights and the order count are lost, the staged pieces stay. Calls that have not
+     * been handled are dropped.
+     */
     public synchronized void restart() {
         version = 0;
         layers = Map.of();
@@ -143,6 +161,29 @@
         return faultyPieces;
     }
 
+    /** Returns what the engine says of itself in a report. */
+    public synchronized ObjectNode report() {
+        finishLoad();
+        ObjectNode report = Json.object();
+        report.put("phase", "both").put("busy", !loading.isEmpty()).put("sequence", orderCount);
+        report.put("queued", 0).put("active", 0).put("born", startCount);
+        report.putArray("models");
+        if (version > 0) {
+            report.withArray("models").addObject().put("name", model).put("version", version);
+        }
+        if (layers.isEmpty()) {
+            report.putNull("layers");
+        } else {
+            report.putObject("layers")
+                    .put("from", layers.keySet().stream().min(Integer::compare).orElseThrow())
+                    .put(
+                            "target",
+                            1 + layers.keySet().stream().max(Integer::compare).orElseThrow())
+                    .put("version", version);
+        }
+        return report;
+    }
+
     @Override
     public void close() {
         server.close();
@@ -157,33 +198,25 @@
     }
 
     private void report(Call call) throws IOException, InterruptedException {
-        faults.await(CallFaults.Kind.REPORT);
-        ObjectNode report = Json.object();
-        synchronized (this) {
-            finishLoad();
-            report.put("phase", "both").put("busy", !loading.isEmpty()).put("sequence", orderCount);
-            report.put("queued", 0).put("active", 0).put("born", startCount);
-            report.putArray("models");
-            if (version > 0) {
-                report.withArray("models").addObject().put("name", model).put("version", version);
-            }
-            if (layers.isEmpty()) {
-                report.putNull("layers");
-            } else {
-                report.putObject("layers")
-                        .put(
-                                "from",
-                                layers.keySet().stream().min(Integer::compare).orElseThrow())
-                        .put(
-                                "target",
-                                1
-                                        + layers.keySet().stream()
-                                                .max(Integer::compare)
-                                                .orElseThrow())
-                        .put("version", version);
-            }
+        if (!await(call, CallFaults.Kind.REPORT)) {
+            return;
         }
-        call.respond(200, report);
+        call.respond(200, report());
+    }
+
+    /** Waits as the faults require; drops the call and returns false if the engine has restarted meanwhile. */
+    private boolean await(Call call, CallFaults.Kind kind) throws InterruptedException {
+        long startsBefore = startCount();
+        faults.await(kind);
+        boolean sameStart = startCount() == startsBefore;
+        if (!sameStart) {
+            call.drop();
+        }
+        return sameStart;
+    }
+
+    private synchronized long startCount() {
+        return startCount;
     }
 
     private void finishLoad() {
@@ -197,7 +230,9 @@
 
     private void putStaged(Call call) throws IOException, InterruptedException {
         byte[] data = call.body();
-        faults.await(CallFaults.Kind.STAGE);
+        if (!await(call, CallFaults.Kind.STAGE)) {
+            return;
+        }
         synchronized (this) {
             staged.put((int) call.queryNumber("num", -1), StagedPiece.staged(data));
         }
@@ -205,16 +240,19 @@
     }
 
     private void getStaged(Call call) throws IOException, InterruptedException {
-        faults.await(CallFaults.Kind.READ_BACK);
+        if (!await(call, CallFaults.Kind.READ_BACK)) {
+            return;
+        }
+        int index = (int) call.queryNumber("num", -1);
         StagedPiece piece;
-        Runnable action = () -> {};
+        IntConsumer action = read -> {};
         synchronized (this) {
-            piece = staged.get((int) call.queryNumber("num", -1));
+            piece = staged.get(index);
             if (readsUntilAction > 0 && --readsUntilAction == 0) {
                 action = actionAfterReads;
             }
         }
-        action.run();
+        action.accept(index);
         call.respond(
                 piece == null ? 404 : 200,
                 piece == null ? new byte[0] : Arrays.copyOf(piece.data(), piece.data().length));
@@ -222,7 +260,10 @@
 
     private void order(Call call) throws IOException, InterruptedException {
         ObjectNode order = call.jsonBody();
-        faults.await(CallFaults.Kind.ORDER);
+        long arrivedNanos = System.nanoTime();
+        if (!await(call, CallFaults.Kind.ORDER)) {
+            return;
+        }
         int status;
         synchronized (this) {
             finishLoad();
@@ -237,10 +278,39 @@
                 int target = order.path("target").asInt(LAYERS);
                 status = take(order.path("version").asLong(), from, target) ? 202 : 200;
             }
+            if (status == 202) {
+                listener.loadBegun(version, Duration.ofNanos(System.nanoTime() - arrivedNanos));
+            }
         }
         call.respond(status, new byte[0]);
     }
 
+    private void answer(Call call) throws IOException, InterruptedException {
+        call.body();
+        if (!await(call, CallFaults.Kind.REQUEST)) {
+            return;
+        }
+        String id = call.header("Masticcroft-Attempt-Id").orElse("");
+        long tokenVersion;
+        boolean refused;
+        synchronized (this) {
+            tokenVersion = servedVersion();
+            String expected = call.header("Masticcroft-Expect-Version").orElse(Long.toString(tokenVersion));
+            refused = tokenVersion == 0 || !expected.equals(Long.toString(tokenVersion));
+            if (!refused) {
+                listener.tokenMade(id, tokenVersion);
+            }
+        }
+        call.setHeader("Masticcroft-Attempt-Id", id);
+        if (refused) {
+            call.setHeader("Masticcroft-Not-Executed", "version").respond(421, new byte[0]);
+            return;
+        }
+        call.setHeader("Masticcroft-Response-Signature", "sig")
+                .setHeader("Masticcroft-Weight-Versions", Long.toString(tokenVersion))
+                .respond(200, "token".getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Keeps the layers in the range that are loaded and takes the others; returns whether that changes anything. */
     private boolean take(long newVersion, int from, int target) {
         Map<Integer, TakenLayer> kept = new HashMap<>(newVersion == version ? layers : Map.of());
