--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineStaging.java
@@ -17,11 +17,8 @@
     /** Maximum number of concurrent uploads to the engine; they do not leave the machine. */
     private static final int MAX_UPLOADS = 3;
 
-    /**
-     * Rounds of read-backs of a verification. The second one repeats those that became too old in the first. If the
-     * engine is too slow for that, further rounds would not help.
-     */
-    private static final int MAX_ROUNDS = 2;
+    /** Rounds of read-backs after which a verification ends also if some have become too old again. */
+    private static final int MAX_ROUNDS = 5;
 
     private final LocalEngine engine;
     private final VerifiedPieces pieces;
@@ -149,19 +146,20 @@
         return uploadsInFlight == 0 && readsInFlight == 0 && toStage.isEmpty() && toVerify.isEmpty();
     }
 
+    /** Repeats the read-backs that have become too old, unless the engine is too slow for that, and ends otherwise. */
     private void completeRound() {
-        if (round < MAX_ROUNDS) {
-            round++;
-            for (int index = 0; index < readBacks.length; index++) {
-                if (readBacks[index].age(time).compareTo(engine.maxReadBackAge()) > 0) {
-                    toVerify.addLast(index);
-                }
-            }
-            if (!toVerify.isEmpty()) {
-                startCalls();
-                return;
+        for (int index = 0; index < readBacks.length; index++) {
+            if (readBacks[index].age(time).compareTo(engine.maxReadBackAge()) > 0) {
+                toVerify.addLast(index);
             }
         }
+        boolean soonEnough = readBackLimit.timeFor(toVerify.size()).compareTo(engine.maxReadBackAge()) <= 0;
+        if (!toVerify.isEmpty() && soonEnough && round < MAX_ROUNDS) {
+            round++;
+            startCalls();
+            return;
+        }
+        toVerify.clear();
         verifying = false;
         onVerified.run();
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/ReadBackLimit.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/ReadBackLimit.java
@@ -16,6 +16,7 @@
     private final int pieceCount;
     private final Duration target;
     private int limit = MIN_CALLS;
+    private Duration lastCall = Duration.ZERO;
 
     /**
      * Creates the limit for an engine whose speed is not known yet.
@@ -30,6 +31,7 @@
 
     /** Records how long a call took. */
     void record(Duration call) {
+        lastCall = call;
         double needed = Math.ceil((double) pieceCount * call.toNanos() / target.toNanos());
         if (call.compareTo(CONGESTED_CALL) > 0) {
             limit = Math.max(MIN_CALLS, limit / 2);
@@ -40,6 +42,11 @@
         }
     }
 
+    /** Returns how long a number of calls takes if each takes as long as the last one. */
+    Duration timeFor(int calls) {
+        return lastCall.multipliedBy(calls).dividedBy(limit);
+    }
+
     int value() {
         return limit;
     }
