--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -22,6 +22,9 @@
     /** Longest time for which the engine may leave read-backs of a confirmation unanswered. */
     private static final Duration MAX_CONFIRMATION_TIME = Duration.ofSeconds(20);
 
+    /** Stands for the version of layers of which none is known to be sound. */
+    private static final long NO_VERSION = 0;
+
     private final LocalEngine engine;
     private final TimeSource time;
     private final DecisionLog log;
@@ -48,7 +51,7 @@
     /** Orders that the engine had accepted when what it held was last known to be sound. */
     private long trustedOrders;
 
-    /** Version that it has loaded then; empty for whichever it has. */
+    /** Version that it had loaded then; empty for whichever it had. */
     private OptionalLong trustedVersion = OptionalLong.empty();
 
     private BitSet unsoundPieces = new BitSet();
@@ -109,42 +112,55 @@
             forgetOrders();
         }
         report = Optional.of(newReport);
-        boolean acceptedUnanswered = unanswered
-                .filter(first -> newReport.ordersBegun() > first.ordersBegun())
-                .isPresent();
-        if (phase == Phase.ORDERED && !orderInFlight && acceptedUnanswered) {
+        if (hasAcceptedUnanswered(newReport)) {
             writeOutcome(unanswered.get(), "ACCEPTED_UNANSWERED");
             confirm(unanswered.get());
         } else if (phase == Phase.SETTLED && holdsUnknownLoad(newReport)) {
-            log.write(
-                    Event.LOAD_UNSOUND,
-                    "version",
-                    newReport.loadedVersion(),
-                    "orders",
-                    newReport.ordersBegun(),
-                    "trusted_orders",
-                    trustedOrders,
-                    "trusted_version",
-                    trustedVersion);
-            phase = Phase.UNSOUND;
-            unsoundVersion = 0;
+            doubtAllLayers(newReport, "unknown-order");
         }
         confirmation.ifPresent(LoadConfirmation::resume);
-        boolean unconfirmable = confirmation
-                .filter(current -> current.started().age(time).compareTo(MAX_CONFIRMATION_TIME) > 0)
-                .isPresent();
-        if (unconfirmable) {
-            confirmation.get().cancel();
-            confirmation = Optional.empty();
-            phase = Phase.UNSOUND;
-            unsoundVersion = 0;
+        if (confirmationTimedOut()) {
+            doubtAllLayers(newReport, "not-confirmed");
         }
         if (phase == Phase.UNSOUND) {
             giveUpUnsoundLayers(newReport);
         }
     }
 
-    /** Returns whether the engine has accepted an order of which this process does not know that it was sound. */
+    private boolean hasAcceptedUnanswered(EngineReport newReport) {
+        return phase == Phase.ORDERED
+                && !orderInFlight
+                && unanswered
+                        .filter(first -> newReport.ordersBegun() > first.ordersBegun())
+                        .isPresent();
+    }
+
+    private boolean confirmationTimedOut() {
+        return confirmation
+                .filter(current -> current.started().age(time).compareTo(MAX_CONFIRMATION_TIME) > 0)
+                .isPresent();
+    }
+
+    private void doubtAllLayers(EngineReport newReport, String reason) {
+        log.write(
+                Event.LOAD_UNSOUND,
+                "version",
+                newReport.loadedVersion().orElse(0),
+                "reason",
+                reason,
+                "orders",
+                newReport.ordersBegun(),
+                "trusted_orders",
+                trustedOrders,
+                "trusted_version",
+                trustedVersion.orElse(0));
+        confirmation.ifPresent(LoadConfirmation::cancel);
+        confirmation = Optional.empty();
+        phase = Phase.UNSOUND;
+        unsoundVersion = NO_VERSION;
+    }
+
+    /** Returns whether the engine has accepted an order that this process has not confirmed. */
     private boolean holdsUnknownLoad(EngineReport newReport) {
         boolean otherVersion = trustedVersion.isPresent()
                 && newReport.loadedVersion().isPresent()
