Let entries remember the doubt about a load for the next process of its sidecar

Cause: the doubt lives in the sidecar's process. The next one takes what the engine has loaded for sound, since nothing tells it otherwise, and withholding all engines whenever sidecars start would cost callers more.

Change: load reports state the doubt apart from loading, and the subscriptions of an entry tell a sidecar whose last report left a load in doubt. A sidecar that has ordered nothing itself then gives the layers up and loads them again. A sidecar sends reports only to entries that have subscribed, so it can't vouch for the load before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -121,6 +121,11 @@
         return report != null && report.loading();
     }
 
+    /** Returns whether its sidecar last reported that the upstream may have taken unsound weights. */
+    public boolean loadInDoubt() {
+        return report != null && report.inDoubt();
+    }
+
     /** Returns the factor by which the upstream is slower than its cost model; 1 if no recent report states it. */
     public double pace(long nowNanos) {
         return reportIsFresh(nowNanos) ? report.pace() : 1;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -83,9 +83,12 @@
             subscription.setAskedNanos(time.nanoTime());
         }
         subscription.addAllSuspects(suspects.fingerprintsToReport());
-        Datagram datagram = Datagram.newBuilder().setSubscription(subscription).build();
         for (Upstream upstream : upstreams.listed()) {
             if (fleet.profile(upstream.listing().service()).isPresent()) {
+                subscription.setDoubtedStartMillis(
+                        upstream.loadInDoubt() ? upstream.listing().startMillis() : 0);
+                Datagram datagram =
+                        Datagram.newBuilder().setSubscription(subscription).build();
                 port.send(new Address(upstream.listing().address().ip(), settings.peerPort()), datagram);
             }
         }
@@ -133,6 +136,7 @@
                 load.getRunning(),
                 load.getQueued(),
                 load.getLoading(),
+                load.getInDoubt(),
                 load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty(),
                 Math.max(1, load.getPace()));
         long now = time.nanoTime();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -280,6 +280,7 @@
                 .setRunning(report.running())
                 .setQueued(report.queued())
                 .setLoading(report.busy() || inDoubt)
+                .setInDoubt(inDoubt)
                 .setServedVersion(inDoubt ? 0 : report.loadedVersion().orElse(0))
                 .setPace((float) report.pace());
         updater.newestNamedVersion()
@@ -333,6 +334,9 @@
                 updater.addNamedVersion(named.getModel(), named.getVersion());
             }
             versionStatements.record(datagram.getSubscription().getAgesList());
+            if (datagram.getSubscription().getDoubtedStartMillis() != 0) {
+                updater.applyDoubt(datagram.getSubscription().getDoubtedStartMillis());
+            }
             if (datagram.getSubscription().getAskedNanos() != 0) {
                 datagrams.send(
                         sender,
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineLoader.java
@@ -54,6 +54,9 @@
     /** Version that it had loaded then; empty for whichever it had. */
     private OptionalLong trustedVersion = OptionalLong.empty();
 
+    /** Start of the engine whose load an earlier process of this sidecar had in doubt. */
+    private OptionalLong doubtedStartMillis = OptionalLong.empty();
+
     private BitSet unsoundPieces = new BitSet();
 
     /** The loaded layers that may have been unsound when they were taken, and their version. */
@@ -85,6 +88,24 @@
         orderSent = false;
     }
 
+    /**
+     * Doubts what a process of the engine has loaded, unless this process has ordered a load, which it confirms itself.
+     */
+    void applyDoubt(long engineStartMillis) {
+        if (lastOrder.isEmpty()) {
+            doubtedStartMillis = OptionalLong.of(engineStartMillis);
+            report.ifPresent(this::applyDoubtOfEarlierProcess);
+        }
+    }
+
+    private void applyDoubtOfEarlierProcess(EngineReport newReport) {
+        boolean sameStart = doubtedStartMillis.equals(OptionalLong.of(newReport.startMillis()));
+        if (sameStart && lastOrder.isEmpty() && phase == Phase.SETTLED) {
+            doubtedStartMillis = OptionalLong.empty();
+            doubtAllLayers(newReport, "reported-before");
+        }
+    }
+
     /** Returns whether the engine has loaded a version, and soundly; it no longer needs the staged pieces. */
     boolean confirmed(long version) {
         return confirmedVersion == version;
@@ -102,8 +123,8 @@
 
     /**
      * Applies a report of the engine, which may show that it has restarted, or has accepted an order that it did not
-     * answer or that this process did not send. What it holds at the first report counts as sound, because an earlier
-     * process of this sidecar has ordered it.
+     * answer or that this process did not send. What it holds at the first report counts as sound unless an entry
+     * doubts it, because an earlier process of this sidecar has ordered it.
      */
     void applyReport(EngineReport newReport) {
         if (report.isEmpty()) {
@@ -118,6 +139,7 @@
         } else if (phase == Phase.SETTLED && holdsUnknownLoad(newReport)) {
             doubtAllLayers(newReport, "unknown-order");
         }
+        applyDoubtOfEarlierProcess(newReport);
         confirmation.ifPresent(LoadConfirmation::resume);
         if (confirmationTimedOut()) {
             doubtAllLayers(newReport, "not-confirmed");
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -186,6 +186,14 @@
         fetcher.ifPresent(PieceFetcher::onAnnouncement);
     }
 
+    /**
+     * Applies the doubt of an entry: the sidecar last reported that this process of the engine may have taken unsound
+     * weights. That was an earlier process of the sidecar if this one has ordered nothing.
+     */
+    public void applyDoubt(long engineStartMillis) {
+        loader.applyDoubt(engineStartMillis);
+    }
+
     /** Applies a report of the engine. */
     public void applyReport(EngineReport newReport) {
         boolean restarted = report.isPresent() && report.get().startMillis() != newReport.startMillis();
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -250,7 +250,7 @@
             list("e2", "10.0.0.2", "z2", 1, false);
             table.applyReport(
                     new Address("10.0.0.1", 80),
-                    new LoadReport(1, SLOTS, 3, false, OptionalLong.of(1), 1),
+                    new LoadReport(1, SLOTS, 3, false, false, OptionalLong.of(1), 1),
                     time.nanoTime());
             assertThat(add("a", 0).choice.orElseThrow().upstream().id()).isEqualTo("e2");
         }
@@ -262,11 +262,11 @@
             list("e2", "10.0.0.2", "z1", 1, false, 8);
             table.applyReport(
                     new Address("10.0.0.1", 80),
-                    new LoadReport(1, 0, 0, false, OptionalLong.of(1), 2.5),
+                    new LoadReport(1, 0, 0, false, false, OptionalLong.of(1), 2.5),
                     time.nanoTime());
             table.applyReport(
                     new Address("10.0.0.2", 80),
-                    new LoadReport(1, 3, 0, false, OptionalLong.of(1), 1),
+                    new LoadReport(1, 3, 0, false, false, OptionalLong.of(1), 1),
                     time.nanoTime());
             assertThat(add("a", 0).choice.orElseThrow().upstream().id()).isEqualTo("e2");
         }
@@ -277,7 +277,7 @@
             list("e1", "10.0.0.1", "z1", 1, false);
             table.applyReport(
                     new Address("10.0.0.1", 80),
-                    new LoadReport(99, SLOTS, 9, false, OptionalLong.of(1), 1),
+                    new LoadReport(99, SLOTS, 9, false, false, OptionalLong.of(1), 1),
                     time.nanoTime());
             assertThat(add("a", 0).choice).isPresent();
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UnconfirmedWeightsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UnconfirmedWeightsTest.java
@@ -19,11 +19,11 @@
     }
 
     private static LoadReport loading() {
-        return new LoadReport(1, 0, 0, true, OptionalLong.empty(), 1);
+        return new LoadReport(1, 0, 0, true, false, OptionalLong.empty(), 1);
     }
 
     private static LoadReport serving(long version) {
-        return new LoadReport(1, 0, 0, false, OptionalLong.of(version), 1);
+        return new LoadReport(1, 0, 0, false, false, OptionalLong.of(version), 1);
     }
 
     private static long at(long millis) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTableTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTableTest.java
@@ -50,7 +50,7 @@
             list("engine", 5);
             list(other, 4);
 
-            table.applyReport(ADDRESS, new LoadReport(5, 1, 0, false, OptionalLong.of(9), 1), 0);
+            table.applyReport(ADDRESS, new LoadReport(5, 1, 0, false, false, OptionalLong.of(9), 1), 0);
 
             assertThat(servedVersion("engine")).hasValue(9);
             assertThat(servedVersion(other)).hasValue(4);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -61,7 +61,7 @@
     @Test
     void isAliveWhileItsSidecarReports() {
         assertThat(upstream.reportedAlive(0)).isFalse();
-        upstream.applyReport(new LoadReport(1, 16, 0, false, OptionalLong.of(1), 1), 0);
+        upstream.applyReport(new LoadReport(1, 16, 0, false, false, OptionalLong.of(1), 1), 0);
         assertThat(upstream.reportedAlive(Duration.ofMillis(900).toNanos())).isTrue();
         assertThat(upstream.reportedAlive(Duration.ofMillis(1100).toNanos())).isFalse();
     }
@@ -71,7 +71,7 @@
     @Test
     void isWithdrawnFromAsEarlyWhenItsReportsEnd() {
         EngineProfile profile = new EngineProfile("m", 5, 9, 0.04, 19);
-        upstream.applyReport(new LoadReport(1, 0, 0, false, OptionalLong.of(1), 8), 0);
+        upstream.applyReport(new LoadReport(1, 0, 0, false, false, OptionalLong.of(1), 8), 0);
         Duration reported = UpstreamChooser.withdrawalLead(upstream, profile, 0);
         long afterReports = Duration.ofSeconds(3).toNanos();
         assertThat(upstream.pace(afterReports)).isEqualTo(1);
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/EngineLoaderTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/EngineLoaderTest.java
@@ -105,6 +105,34 @@
             assertThat(loader.inDoubt()).isTrue();
         }
 
+        /** Guards against tokens of such a load if an entry remembers that it was in doubt. */
+        @Test
+        void leavesItsLoadInDoubtIfAnEntryRemembersIt() {
+            loader.applyReport(report(1, 1, 2));
+            loader.applyDoubt(1);
+            assertThat(loader.inDoubt()).isTrue();
+        }
+
+        /** Guards against a reload because an entry still doubts the process before the engine's last start. */
+        @Test
+        void leavesTheNextProcessOfTheEngineOutOfDoubt() {
+            loader.applyReport(report(2, 1, 2));
+            loader.applyDoubt(1);
+            assertThat(loader.inDoubt()).isFalse();
+        }
+
+        /** Guards against a reload because an entry has not heard yet that this process has confirmed its own load. */
+        @Test
+        void doesNotMatterOnceThisProcessHasConfirmedALoad() {
+            loader.applyReport(report(1, 0, 1));
+            order(staged(2));
+            answerOrder(LocalEngine.OrderOutcome.BEGUN);
+            engine.answerStaging();
+            loader.applyReport(report(1, 1, 2));
+            loader.applyDoubt(1);
+            assertThat(loader.inDoubt()).isFalse();
+        }
+
         /** Guards against tokens of a load that the sidecar did not order, accepted while it stages other pieces. */
         @Test
         void isInDoubtIfItIsAcceptedLate() {
