Describe event 1308 as it is written now

It also states loads that the sidecar can't account for or could not confirm, with a reason, since; the description spoke of bad staged pieces only.

--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -46,7 +46,7 @@
     LOAD_TURN(1306, "Complete weights are loaded now, or the engine goes on serving while others load; inputs given."),
     LOAD_CONFIRMED(
             1307, "The staged pieces were sound after the engine accepted the order, so it has loaded sound weights."),
-    LOAD_UNSOUND(1308, "Staged pieces were bad after the engine accepted the order; their layers are loaded again."),
+    LOAD_UNSOUND(1308, "Loaded layers may be unsound and are loaded again; the bad pieces or the reason are given."),
     DISPATCH_REFUSED(1310, "A dispatch was refused before the upstream executed it; the code is given."),
     DISPATCH_FINISHED(1311, "A dispatch ended; verdict, code and byte count are given."),
     DISPATCH_DUPLICATE(1312, "A dispatch repeats a request id and attempt and was not run again."),
