--- a/gateway/src/main/java/org/masticcroft/gateway/load/DatagramPort.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/load/DatagramPort.java
@@ -29,11 +29,13 @@
 
     private final EventLoop loop;
     private final DecisionLog log;
+    private final DatagramTraffic traffic;
     private Channel channel;
 
     private DatagramPort(EventLoop loop, DecisionLog log) {
         this.loop = loop;
         this.log = log;
+        this.traffic = DatagramTraffic.of(log);
     }
 
     /** Creates an endpoint that is not bound yet. */
@@ -57,7 +59,14 @@
 
     /** Sends a datagram; it may be lost. */
     public void send(Address to, Datagram datagram) {
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram.toByteArray()), to.socketAddress()));
+        byte[] bytes = datagram.toByteArray();
+        traffic.record(datagram.getContentCase(), bytes.length);
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to.socketAddress()));
+    }
+
+    /** Returns the counter of the datagrams that were sent. */
+    public DatagramTraffic traffic() {
+        return traffic;
     }
 
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -44,6 +44,7 @@
 import org.masticcroft.gateway.http.PooledHttpClient;
 import org.masticcroft.gateway.http.ResponseWriter;
 import org.masticcroft.gateway.load.DatagramPort;
+import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
@@ -198,6 +199,8 @@
                 .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
+        RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
+                .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
         RepeatingTask.of("subscriptions", datagrams::subscribe, log)
                 .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
         RepeatingTask.of("crash-evidence", datagrams::sendEvidence, log)
@@ -220,6 +223,7 @@
                 () -> storeFreshness.age().toMillis());
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
+        datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -15,6 +15,7 @@
 import org.masticcroft.gateway.generated.VersionAges;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.load.DatagramPort;
+import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.load.LoadReport;
 import org.masticcroft.kernel.time.TimeSource;
 
@@ -69,6 +70,11 @@
         port.listen(settings.peerAddress(), this::handleDatagram);
     }
 
+    /** Returns the counter of the datagrams that were sent. */
+    DatagramTraffic traffic() {
+        return port.traffic();
+    }
+
     /** Sends a subscription to the sidecar of every listed engine; plain services have no engine profile. */
     void subscribe() {
         Subscription.Builder subscription = Subscription.newBuilder();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -27,6 +27,7 @@
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.gateway.http.ResponseWriter;
 import org.masticcroft.gateway.load.DatagramPort;
+import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
@@ -158,6 +159,7 @@
         metrics.gauge(Series.of("masticcroft_entries_subscribed"), subscribers::size);
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
+        datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
 
         loop.execute(this::readOperatorDirectory);
@@ -165,6 +167,8 @@
                 .schedule(loop, ENGINE_REPORT_INTERVAL_MILLIS, ENGINE_REPORT_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
+        RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
+                .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
     }
 
     @Override
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -72,6 +72,8 @@
     STORE_REGAINED(1604, "The platform's store answers again."),
     DIRECTORY_EXPIRED(1605, "The records to continue from are deleted; the directory is read as a whole."),
     DATAGRAM_UNREADABLE(1606, "A datagram could not be decoded and was dropped."),
+    DATAGRAMS_SENT(
+            1607, "The process sent many bytes in datagrams within a second; the bytes of each content are given."),
     INTERNAL_ERROR(1900, "An unexpected error was handled; its stack trace is attached.");
 
     private final int number;
