--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -37,6 +37,7 @@
 import org.masticcroft.gateway.fleet.FleetStore;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
+import org.masticcroft.gateway.generated.CrashEvidence;
 import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
@@ -89,9 +90,6 @@
     /** Time after a crash within which bytes that were sent before it are still read. */
     private static final Duration IN_TRANSIT = Duration.ofMillis(25);
 
-    /** Time for which evidence is collected before it is sent. */
-    private static final long EVIDENCE_DELAY_MILLIS = 5;
-
     private final NodeSettings settings;
     private final TimeSource time;
     private final EventLoop loop;
@@ -102,6 +100,7 @@
     private final LateInputReport lateInputs;
     private final RequestRecorder recorder;
     private final FleetDatagrams datagrams;
+    private final EntryEvidence evidence;
     private final UpstreamTable upstreams;
     private final NamedVersions namedVersions;
     private final StoreFreshness storeFreshness;
@@ -123,7 +122,6 @@
     private final ResponseTimes responseTimes = ResponseTimes.empty();
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
     private Set<Long> loggedQuarantine = Set.of();
-    private boolean evidencePending;
     private boolean evidenceRequested;
     private final Random random;
     private boolean wasReady;
@@ -162,8 +160,13 @@
                 upstreams,
                 namedVersions,
                 suspects,
+                this::receiveEvidence);
+        this.evidence = new EntryEvidence(
+                time,
                 promptParts,
-                this::onEvidence);
+                datagrams::sidecars,
+                datagrams::send,
+                (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
         this.chooser = UpstreamChooser.of(settings.zone());
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
@@ -203,7 +206,7 @@
                 .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
         RepeatingTask.of("subscriptions", datagrams::subscribe, log)
                 .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
-        RepeatingTask.of("crash-evidence", datagrams::sendEvidence, log)
+        RepeatingTask.of("crash-evidence", evidence::exchange, log)
                 .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
     }
 
@@ -436,8 +439,19 @@
         return promptParts.mayResend(request.sharedParts());
     }
 
-    /** Shares changed evidence with the other entries; changes that come close together share a datagram. */
     private void onEvidence() {
+        checkQuarantine();
+        evidence.changed();
+    }
+
+    private void receiveEvidence(CrashEvidence received) {
+        if (evidence.receive(received)) {
+            checkQuarantine();
+        }
+    }
+
+    /** Ends what the evidence on parts of prompts now forbids. */
+    private void checkQuarantine() {
         if (!loggedQuarantine.equals(promptParts.quarantined())) {
             loggedQuarantine = promptParts.quarantined();
             List.copyOf(openExchanges).forEach(Exchange::checkQuarantine);
@@ -448,16 +462,6 @@
                     "suspected",
                     promptParts.suspected());
         }
-        if (!evidencePending) {
-            evidencePending = true;
-            loop.schedule(
-                    () -> {
-                        evidencePending = false;
-                        datagrams.sendEvidence();
-                    },
-                    EVIDENCE_DELAY_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        }
     }
 
     @Override
@@ -547,7 +551,7 @@
         checkSuspension();
         if (!evidenceRequested && fleet.complete()) {
             evidenceRequested = true;
-            datagrams.sendEvidence();
+            evidence.exchange();
         }
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -2,11 +2,12 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
-import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.NamedVersions;
+import org.masticcroft.gateway.generated.CrashEvidence;
 import org.masticcroft.gateway.generated.Datagram;
 import org.masticcroft.gateway.generated.EngineLoad;
 import org.masticcroft.gateway.generated.NamedWeights;
@@ -25,12 +26,6 @@
  * engines, the named versions that they know, and the suspects of the other entries.
  */
 final class FleetDatagrams {
-    /**
-     * Sidecars that the evidence on parts of prompts goes to at a time; each of them passes it on to all entries. One
-     * would do, but sidecars may be down, cut off or slow.
-     */
-    private static final int EVIDENCE_RECIPIENTS = 4;
-
     private final NodeSettings settings;
     private final TimeSource time;
     private final DatagramPort port;
@@ -38,9 +33,7 @@
     private final UpstreamTable upstreams;
     private final NamedVersions namedVersions;
     private final CrashSuspects suspects;
-    private final PromptPartSuspects promptParts;
-    private final TakeTurns<String> evidenceRecipients = TakeTurns.of(EVIDENCE_RECIPIENTS);
-    private final Runnable onEvidence;
+    private final Consumer<CrashEvidence> onEvidence;
     private final long startedNanos;
 
     FleetDatagrams(
@@ -51,8 +44,7 @@
             UpstreamTable upstreams,
             NamedVersions namedVersions,
             CrashSuspects suspects,
-            PromptPartSuspects promptParts,
-            Runnable onEvidence) {
+            Consumer<CrashEvidence> onEvidence) {
         this.settings = settings;
         this.time = time;
         this.port = port;
@@ -60,7 +52,6 @@
         this.upstreams = upstreams;
         this.namedVersions = namedVersions;
         this.suspects = suspects;
-        this.promptParts = promptParts;
         this.onEvidence = onEvidence;
         this.startedNanos = time.nanoTime();
     }
@@ -100,26 +91,25 @@
         }
     }
 
-    /**
-     * Sends the evidence on parts of prompts to the next few sidecars, which reply with what they know. Is called when
-     * the evidence changes, and from time to time because datagrams may be lost and entries start anew.
-     */
-    void sendEvidence() {
-        List<String> sidecars = upstreams.listed().stream()
+    /** Sends a datagram to a sidecar; it may be lost. */
+    void send(Address sidecar, Datagram datagram) {
+        port.send(sidecar, datagram);
+    }
+
+    /** Returns the addresses of the sidecars of all listed engines, in order. */
+    List<Address> sidecars() {
+        return upstreams.listed().stream()
                 .filter(upstream -> fleet.profile(upstream.listing().service()).isPresent())
                 .map(upstream -> upstream.listing().address().ip())
                 .distinct()
                 .sorted()
+                .map(ip -> new Address(ip, settings.peerPort()))
                 .toList();
-        Datagram datagram = EvidenceMessages.encode(promptParts.reports(time.nanoTime()));
-        evidenceRecipients.next(sidecars).forEach(ip -> port.send(new Address(ip, settings.peerPort()), datagram));
     }
 
     private void handleDatagram(Address sender, Datagram datagram) {
         if (datagram.hasEvidence()) {
-            if (promptParts.merge(EvidenceMessages.decode(datagram.getEvidence()), time.nanoTime())) {
-                onEvidence.run();
-            }
+            onEvidence.accept(datagram.getEvidence());
             return;
         }
         if (datagram.hasAges()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -12,12 +12,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.config.CallerLimits;
-import org.masticcroft.gateway.dispatch.PartReport;
-import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryReply;
 import org.masticcroft.gateway.fleet.FleetChange;
-import org.masticcroft.gateway.generated.CrashEvidence;
 import org.masticcroft.gateway.generated.Datagram;
 import org.masticcroft.gateway.generated.EngineLoad;
 import org.masticcroft.gateway.generated.HeldPieces;
@@ -99,7 +96,7 @@
     private final Map<Address, Long> subscribers = new HashMap<>();
     private final PacedUploads uploads;
     private final Map<Address, List<Long>> suspectsByEntry = new HashMap<>();
-    private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
+    private final SidecarEvidence evidence;
     private boolean reportPending;
     private Optional<EngineReport> lastReport = Optional.empty();
     private boolean announcing;
@@ -125,6 +122,7 @@
         this.engine = engine;
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
+        this.evidence = new SidecarEvidence(time, subscribers::keySet, datagrams::send);
         this.versionStatements = new VersionStatements(time, dependencies.inputs());
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
@@ -347,29 +345,13 @@
                         versionStatements.reply(datagram.getSubscription().getAskedNanos()));
             }
         } else if (datagram.hasEvidence()) {
-            handleEvidence(sender, datagram.getEvidence());
+            evidence.receive(sender, datagram.getEvidence());
         } else if (datagram.hasHeld()) {
             HeldPieces held = datagram.getHeld();
             updater.applyHeldPieces(sender, held);
         }
     }
 
-    /** Merges the evidence of an entry, passes it on to all entries if it is new, and replies with the rest. */
-    private void handleEvidence(Address sender, CrashEvidence evidence) {
-        long now = time.nanoTime();
-        boolean changed = promptParts.merge(EvidenceMessages.decode(evidence), now);
-        List<PartReport> reports = promptParts.reports(now);
-        if (reports.isEmpty()) {
-            return;
-        }
-        Datagram datagram = EvidenceMessages.encode(reports);
-        if (changed) {
-            subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
-        } else {
-            datagrams.send(sender, datagram);
-        }
-    }
-
     private void servePeer(HttpRequest head, byte[] body, ResponseWriter writer) {
         Optional<byte[]> data = PeerWeightsRequest.parse(head.uri()).flatMap(updater::read);
         if (data.isEmpty()) {
