Bound the suspected requests in subscriptions and load reports

Reports that do not fit into the 2048 bytes that a process reads of a datagram are dropped, and with them what an entry knows of the engines: 15 entries with 60 requests each would make 7.2 kB. A subscription could hold 384 fingerprints (3 kB).

Change: a load report states at most 32 failures, in turn, with all failures of a request together; each sidecar begins elsewhere. A subscription states at most 128, the last ones first.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,9 +29,12 @@
     /** Time after the last failure at which a request is forgotten; a crashed engine is back after some seconds. */
     private static final Duration RETENTION = Duration.ofSeconds(60);
 
-    /** Maximum number of requests that are remembered; their fingerprints fit into one datagram. */
+    /** Maximum number of requests that are remembered. */
     private static final int MAX_SUSPECTS = 128;
 
+    /** Maximum number of fingerprints in a report, which have to fit into one datagram. */
+    private static final int MAX_REPORTED = 128;
+
     private final Map<Long, Suspect> suspects = new HashMap<>();
 
     private CrashSuspects() {}
@@ -100,16 +104,17 @@
 
     /**
      * Returns the report to the other entries: the fingerprint of each request, once for each upstream that this entry
-     * saw fail, up to the number that is enough for a quarantine.
+     * saw fail, up to the number that is enough for a quarantine. The last failures come first.
      */
     public List<Long> fingerprintsToReport() {
         List<Long> fingerprints = new ArrayList<>();
-        suspects.forEach((fingerprint, suspect) -> {
-            int failed = (int) Math.min(UPSTREAMS_TO_QUARANTINE, suspect.locallyObservedUpstreams());
-            if (!suspect.repeatable || failed >= UPSTREAMS_TO_REPORT_REPEATABLE) {
-                fingerprints.addAll(Collections.nCopies(failed, fingerprint));
-            }
-        });
+        suspects.entrySet().stream()
+                .filter(entry -> entry.getValue().toReport())
+                .sorted(Comparator.comparingLong((Map.Entry<Long, Suspect> entry) -> -entry.getValue().lastFailureNanos)
+                        .thenComparing(Map.Entry::getKey))
+                .map(entry -> Collections.nCopies(entry.getValue().failuresToReport(), entry.getKey()))
+                .takeWhile(copies -> fingerprints.size() + copies.size() <= MAX_REPORTED)
+                .forEachOrdered(fingerprints::addAll);
         return fingerprints;
     }
 
@@ -118,6 +123,15 @@
         private boolean repeatable = true;
         private long lastFailureNanos;
 
+        private boolean toReport() {
+            int failures = failuresToReport();
+            return failures >= (repeatable ? UPSTREAMS_TO_REPORT_REPEATABLE : 1);
+        }
+
+        private int failuresToReport() {
+            return (int) Math.min(UPSTREAMS_TO_QUARANTINE, locallyObservedUpstreams());
+        }
+
         /** Leaves out the reports of other entries, so that entries do not confirm each other's suspicions. */
         private long locallyObservedUpstreams() {
             return upstreams.stream()
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -19,7 +19,6 @@
 import org.masticcroft.gateway.generated.EngineLoad;
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.generated.NamedWeights;
-import org.masticcroft.gateway.generated.Suspicion;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.gateway.http.ResponseWriter;
@@ -95,7 +94,7 @@
     private final VersionStatements versionStatements;
     private final Map<Address, Long> subscribers = new HashMap<>();
     private final PacedUploads uploads;
-    private final Map<Address, List<Long>> suspectsByEntry = new HashMap<>();
+    private final ReportedSuspects suspects;
     private final SidecarEvidence evidence;
     private boolean reportPending;
     private Optional<EngineReport> lastReport = Optional.empty();
@@ -122,6 +121,7 @@
         this.engine = engine;
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
+        this.suspects = new ReportedSuspects(settings.ip().hashCode());
         this.evidence = new SidecarEvidence(time, subscribers::keySet, datagrams::send);
         this.versionStatements = new VersionStatements(time, dependencies.inputs());
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
@@ -275,7 +275,7 @@
         }
         sentLoadHash = loadHash;
         unchangedReports = 0;
-        suspectsByEntry.keySet().retainAll(subscribers.keySet());
+        suspects.retainAll(subscribers.keySet());
         EngineLoad.Builder load = EngineLoad.newBuilder()
                 .setStartMillis(report.startMillis())
                 .setPort(settings.engine().orElseThrow().port())
@@ -288,11 +288,7 @@
         updater.newestNamedVersion()
                 .ifPresent(named -> load.addNamed(
                         NamedWeights.newBuilder().setModel(named.model()).setVersion(named.version())));
-        suspectsByEntry.forEach((entry, fingerprints) -> {
-            if (!fingerprints.isEmpty()) {
-                load.addSuspicions(Suspicion.newBuilder().setEntry(entry.ip()).addAllFingerprints(fingerprints));
-            }
-        });
+        load.addAllSuspicions(suspects.next());
         Datagram datagram = Datagram.newBuilder().setLoad(load).build();
         subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
     }
@@ -331,7 +327,7 @@
     private void handleDatagram(Address sender, Datagram datagram) {
         if (datagram.hasSubscription()) {
             subscribers.put(sender, time.nanoTime());
-            suspectsByEntry.put(sender, datagram.getSubscription().getSuspectsList());
+            suspects.record(sender, datagram.getSubscription().getSuspectsList());
             for (NamedWeights named : datagram.getSubscription().getNamedList()) {
                 updater.addNamedVersion(named.getModel(), named.getVersion());
             }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/CrashSuspectsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/CrashSuspectsTest.java
@@ -71,4 +71,16 @@
         suspects.recordFailure(7, "e3", true, 0);
         assertThat(suspects.quarantined(7, Duration.ofSeconds(61).toNanos())).isFalse();
     }
+
+    // Guards against a subscription that no sidecar can read, so that its entry gets no load reports.
+    @Test
+    void reportNoMoreThanADatagramHolds() {
+        for (int failure = 0; failure < 3; failure++) {
+            for (long fingerprint = 1; fingerprint <= 128; fingerprint++) {
+                suspects.recordFailure(fingerprint, "e" + failure, true, fingerprint);
+            }
+        }
+        List<Long> reported = suspects.fingerprintsToReport();
+        assertThat(reported).hasSizeBetween(120, 128).startsWith(128L, 128L, 128L, 127L);
+    }
 }
