Let rules decide where a request may be placed

Only the load and the version of an upstream decided whether a request may be sent there. Evacuated data centres, allowed regions, cold upstreams and the memory of engines need decisions of their own, so UpstreamChooser now asks placement rules. A request that only some upstreams may serve no longer blocks those behind it, and one that none may serve is refused at once.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Set;
+import org.masticcroft.gateway.config.AllowedRegions;
 
 /** A request that waits for an upstream with capacity. */
 public interface QueuedRequest {
@@ -39,6 +40,11 @@
     /** Returns the ids of the upstreams that the request was sent to before. */
     Set<String> triedUpstreams();
 
+    /** Returns the regions whose upstreams may serve the request. */
+    default AllowedRegions allowedRegions() {
+        return AllowedRegions.all();
+    }
+
     /** Sends the request to an upstream. */
     void dispatch(Choice choice);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -82,10 +82,9 @@
             estimate.recordArrival(request.rank(), now);
         }
         List<Upstream> upstreams = table.ofService(service);
-        // A request that was sent before waits only for the upstreams that it has not tried.
         boolean isNext = waiting.stream()
                 .filter(other -> priority(other, now) <= priority)
-                .allMatch(other -> other.alreadySent()
+                .allMatch(other -> waitsForFewUpstreams(other)
                         && chooser.choose(other, upstreams, profile, limit, now).isEmpty());
         if (isNext) {
             Optional<QueuedRequest.Choice> choice = chooser.choose(request, upstreams, profile, limit, now);
@@ -94,7 +93,7 @@
                 return;
             }
         }
-        if (!UpstreamChooser.anyServing(table.ofService(service), profile, limit, now)) {
+        if (!chooser.anyServing(request, upstreams, profile, limit, now)) {
             refuse(request, "no-upstream", OUTAGE_RETRY_AFTER);
             return;
         }
@@ -139,10 +138,7 @@
             return;
         }
         List<Upstream> upstreams = table.ofService(service);
-        if (!UpstreamChooser.anyServing(upstreams, profile, limit, now)) {
-            refuseAll();
-            return;
-        }
+        refuseUnservable(upstreams, profile, limit, now);
         Set<QueuedRequest> withoutRoom = new HashSet<>();
         Optional<QueuedRequest> next = first(now, withoutRoom);
         while (next.isPresent()) {
@@ -151,8 +147,8 @@
             if (choice.isPresent()) {
                 waiting.remove(request);
                 dispatch(request, choice.get());
-            } else if (request.alreadySent()) {
-                // The upstreams that it has tried may have room for others.
+            } else if (waitsForFewUpstreams(request)) {
+                // Upstreams that it may not be sent to may have room for others.
                 withoutRoom.add(request);
             } else {
                 break;
@@ -198,6 +194,7 @@
 
     private void dispatch(QueuedRequest request, QueuedRequest.Choice choice) {
         estimate.recordDispatch();
+        chooser.onSend(request, choice.upstream(), time.nanoTime());
         request.dispatch(choice);
     }
 
@@ -259,9 +256,18 @@
         return !pause.isZero() && now + pause.toNanos() - request.firstByteDeadlineNanos() >= 0;
     }
 
-    private void refuseAll() {
-        List<QueuedRequest> refused = List.copyOf(waiting);
-        waiting.clear();
+    /** Returns whether a request waits only for some upstreams: those not tried yet, or those in allowed regions. */
+    private static boolean waitsForFewUpstreams(QueuedRequest request) {
+        return request.alreadySent() || request.allowedRegions().restricted();
+    }
+
+    /** Refuses the requests that no upstream serves. */
+    private void refuseUnservable(
+            List<Upstream> upstreams, Optional<EngineProfile> profile, VersionLimit limit, long now) {
+        List<QueuedRequest> refused = waiting.stream()
+                .filter(request -> !chooser.anyServing(request, upstreams, profile, limit, now))
+                .toList();
+        waiting.removeAll(refused);
         refused.forEach(request -> refuse(request, "no-upstream", OUTAGE_RETRY_AFTER));
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -42,14 +42,26 @@
     private static final double PASSES_UNTIL_WITHDRAWN = 2;
 
     private final String zone;
+    private final PlacementRule rules;
 
-    private UpstreamChooser(String zone) {
+    private UpstreamChooser(String zone, PlacementRule rules) {
         this.zone = zone;
+        this.rules = rules;
     }
 
-    /** Creates a chooser for an entry in the given data centre. */
+    /** Creates a chooser for an entry in the given data centre that allows every placement. */
     public static UpstreamChooser of(String zone) {
-        return new UpstreamChooser(zone);
+        return of(zone, PlacementRules.of());
+    }
+
+    /**
+     * Creates a chooser.
+     *
+     * @param zone data centre of the entry
+     * @param rules placements that are allowed
+     */
+    public static UpstreamChooser of(String zone, PlacementRule rules) {
+        return new UpstreamChooser(zone, rules);
     }
 
     /**
@@ -71,7 +83,8 @@
         double bestMillis = Double.MAX_VALUE;
         int candidates = 0;
         for (Upstream upstream : upstreams) {
-            if (!eligible(request, upstream, profile, versions, nowNanos)) {
+            if (!eligible(request, upstream, profile, versions, nowNanos)
+                    || rules.check(request, upstream, nowNanos) != PlacementDecision.ALLOWED) {
                 continue;
             }
             candidates++;
@@ -86,11 +99,24 @@
                 : Optional.of(new QueuedRequest.Choice(best, candidates, bestMillis, best.load(nowNanos)));
     }
 
-    /** Returns whether any upstream may serve requests, even if it has no capacity now; not while it loads weights. */
-    public static boolean anyServing(
-            List<Upstream> upstreams, Optional<EngineProfile> profile, VersionLimit versions, long nowNanos) {
+    /** Is called when a request is dispatched to an upstream. */
+    void onSend(QueuedRequest request, Upstream upstream, long nowNanos) {
+        rules.onSend(request, upstream, nowNanos);
+    }
+
+    /**
+     * Returns whether any upstream may serve a request, even if it has no capacity now; not while it loads weights or
+     * if a rule excludes it for good.
+     */
+    public boolean anyServing(
+            QueuedRequest request,
+            List<Upstream> upstreams,
+            Optional<EngineProfile> profile,
+            VersionLimit versions,
+            long nowNanos) {
         return upstreams.stream()
                 .filter(upstream -> upstream.usable(nowNanos))
+                .filter(upstream -> !rules.check(request, upstream, nowNanos).lasting())
                 .anyMatch(upstream -> profile.isEmpty()
                         || (!upstream.loading()
                                 && servesVersion(
