Ask busy sidecars for pieces again soon, and spare the connections of the origin

Change: a busy peer is asked again after 120 ms. The sidecars of the region of the origin share half of its configured connections. A sidecar that has announced nothing a second after the start of a transfer owns no pieces.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
@@ -107,6 +107,15 @@
                 .findFirst();
     }
 
+    /** Returns the number of connections that the origin of weights accepts; 0 if unknown. */
+    public int originConnections() {
+        return services.values().stream()
+                .filter(service -> service.origin().isPresent())
+                .mapToInt(UpstreamService::maxConnections)
+                .findFirst()
+                .orElse(0);
+    }
+
     /** Returns the data centre of the origin of weights; empty if none is configured. */
     public String originZone() {
         return services.values().stream()
--- a/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
@@ -11,9 +11,10 @@
  * @param profile cost model of the upstreams, if they are engines
  * @param origin address of the origin of weights, if the service is the origin
  * @param originZone data centre of the origin; empty if the service is not the origin
+ * @param maxConnections connections that an upstream accepts from all callers; 0 if unknown
  */
 public record UpstreamService(
-        String name, Optional<EngineProfile> profile, Optional<Address> origin, String originZone) {
+        String name, Optional<EngineProfile> profile, Optional<Address> origin, String originZone, int maxConnections) {
     public UpstreamService {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(profile, "profile");
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -24,6 +24,12 @@
     /** Time for which no pieces are requested from a peer after it failed to return one. */
     private static final Duration FAILURE_BACKOFF = Duration.ofMillis(1500);
 
+    /**
+     * Time for which no pieces are requested from a peer that had no free upload slot. It frees one about every 50 ms,
+     * and announces its free slots every 120 ms.
+     */
+    private static final Duration BUSY_BACKOFF = Duration.ofMillis(120);
+
     /** Age after which an announcement is ignored; sidecars repeat them several times per second. */
     private static final Duration ANNOUNCEMENT_LIFETIME = Duration.ofMillis(2500);
 
@@ -36,7 +42,8 @@
     /** The newest announcement of each peer for each version that it holds pieces of. */
     private final Map<String, TreeMap<Long, Announcement>> announcements = new HashMap<>();
 
-    private final Map<String, Long> failureNanos = new HashMap<>();
+    /** Monotonic time in nanoseconds from which pieces may be requested again from a peer that returned none. */
+    private final Map<String, Long> backoffEndNanos = new HashMap<>();
 
     private Peers(TimeSource time, String ownIp) {
         this.time = time;
@@ -88,10 +95,12 @@
     /**
      * Returns the members of a region that fetch a version or may do so. Those that announce pieces of a newer version,
      * or only of an older one, are left out, since a piece that were theirs to draw would wait for them.
+     *
+     * @param withSilent whether members that have announced nothing recently are included
      */
-    List<String> fetchers(long version, Map<String, String> regionByDataCentre, String region) {
+    List<String> fetchers(long version, Map<String, String> regionByDataCentre, String region, boolean withSilent) {
         return regionMembers(regionByDataCentre, region).stream()
-                .filter(ip -> ip.equals(ownIp) || newestAnnounced(ip).orElse(version) == version)
+                .filter(ip -> ip.equals(ownIp) || newestAnnounced(ip).orElse(withSilent ? version : 0) == version)
                 .toList();
     }
 
@@ -115,7 +124,12 @@
 
     /** Records that a peer failed to return a piece. */
     void markFailed(String ip) {
-        failureNanos.put(ip, time.nanoTime());
+        backoffEndNanos.put(ip, time.nanoTime() + FAILURE_BACKOFF.toNanos());
+    }
+
+    /** Records that a peer had no free upload slot. */
+    void markBusy(String ip) {
+        backoffEndNanos.put(ip, time.nanoTime() + BUSY_BACKOFF.toNanos());
     }
 
     /** Returns the peers that hold pieces of a version, in the form that the fetch planner uses. */
@@ -126,8 +140,9 @@
             UpstreamListing listing = listingByIp.get(ip);
             String zone = listing == null ? "" : listing.zone();
             boolean sameRegion = regionByDataCentre.getOrDefault(zone, zone).equals(region);
-            long backoffMillis = failureNanos.containsKey(ip)
-                    ? FAILURE_BACKOFF.minus(time.since(failureNanos.get(ip))).toMillis()
+            long backoffMillis = backoffEndNanos.containsKey(ip)
+                    ? Duration.ofNanos(backoffEndNanos.get(ip) - time.nanoTime())
+                            .toMillis()
                     : 0;
             peers.add(new FetchView.Peer(
                     ip,
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/PieceFetcher.java
@@ -24,10 +24,14 @@
      */
     private static final int MAX_PEER_TRANSFERS = 4;
 
+    /** Maximum number of concurrent transfers from the origin. */
+    private static final int MAX_ORIGIN_TRANSFERS = 3;
+
     /**
-     * Maximum number of concurrent transfers from the origin; it accepts a few dozen connections from the whole fleet.
+     * Share of the connections of the origin that the sidecars of its region use for pieces. With more of them at once,
+     * the origin dropped connection attempts, each of which cost 500 ms.
      */
-    private static final int MAX_ORIGIN_TRANSFERS = 3;
+    private static final double ORIGIN_CONNECTION_SHARE = 0.5;
 
     /** Delay between two attempts while the origin fails; a crashed origin is back after some seconds. */
     private static final Duration ORIGIN_RETRY_DELAY = Duration.ofMillis(300);
@@ -44,6 +48,12 @@
      */
     private static final long TURN_MILLIS = 500;
 
+    /**
+     * Time after which a sidecar that has announced nothing no longer counts as an owner of pieces. It is cut off or
+     * has not started, and its pieces would wait until the others make no progress at all.
+     */
+    private static final long SILENCE_MILLIS = 1000;
+
     private final VerifiedPieces pieces;
     private final Topology topology;
     private final FetchPlanner planner;
@@ -161,7 +171,8 @@
     }
 
     /** Handles the reply to a request for a piece; an empty peer stands for the origin. */
-    private void handleReply(Fetch fetch, String peer, Optional<byte[]> data) {
+    private void handleReply(Fetch fetch, String peer, PieceReply reply) {
+        Optional<byte[]> data = reply.data();
         inProgress.remove(fetch.chunk());
         busyPeers.remove(peer);
         originTransfers -= peer.isEmpty() ? 1 : 0;
@@ -179,6 +190,10 @@
         if (data.isPresent() && pieces.add(fetch.chunk(), data.get())) {
             lastProgressNanos = time.nanoTime();
             listener.fetched(fetch.chunk(), peer.isEmpty() ? FetchListener.ORIGIN : peer);
+        } else if (reply.busy() && !peer.isEmpty()) {
+            // The peer is alive and uploads to others; another one may have the piece by now.
+            peers.markBusy(peer);
+            snapshotTaken = false;
         } else {
             handleFailure(fetch, peer, data.isPresent());
         }
@@ -222,7 +237,21 @@
     private boolean originAvailable() {
         return originFailing
                 ? originTransfers == 0 && time.since(originFailureNanos).compareTo(ORIGIN_RETRY_DELAY) >= 0
-                : originTransfers < MAX_ORIGIN_TRANSFERS;
+                : originTransfers < maxOriginTransfers(topology.originConnections(), regionFetchers.size());
+    }
+
+    /**
+     * Returns the number of concurrent transfers from the origin that each sidecar of its region may have.
+     *
+     * @param originConnections connections that the origin accepts; 0 if unknown
+     * @param fetchers sidecars of the region that fetch pieces
+     */
+    static int maxOriginTransfers(int originConnections, int fetchers) {
+        if (originConnections == 0) {
+            return MAX_ORIGIN_TRANSFERS;
+        }
+        int share = (int) (ORIGIN_CONNECTION_SHARE * originConnections / Math.max(1, fetchers));
+        return Math.max(1, Math.min(MAX_ORIGIN_TRANSFERS, share));
     }
 
     private boolean snapshotIsFresh() {
@@ -244,7 +273,11 @@
                 sinceStartMillis);
         regionFetchers = sinceStartMillis < TURN_MILLIS
                 ? peers.regionMembers(topology.regionByDataCentre(), topology.region())
-                : peers.fetchers(manifest.version(), topology.regionByDataCentre(), topology.region());
+                : peers.fetchers(
+                        manifest.version(),
+                        topology.regionByDataCentre(),
+                        topology.region(),
+                        sinceStartMillis < SILENCE_MILLIS);
     }
 
     /** Transfers from peers must not use up the limit of those from the origin, whose link is the bottleneck. */
@@ -280,6 +313,7 @@
      * @param region own region
      * @param regionByDataCentre region of each data centre
      * @param origin address of the origin
+     * @param originConnections connections that the origin accepts; 0 if unknown
      * @param originInOwnRegion whether the origin is in the own region
      */
     record Topology(
@@ -288,5 +322,6 @@
             String region,
             Map<String, String> regionByDataCentre,
             Address origin,
+            int originConnections,
             boolean originInOwnRegion) {}
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -454,6 +454,7 @@
                         region,
                         settings.regions(),
                         config.get().origin().orElseThrow(),
+                        config.get().originConnections(),
                         originInOwnRegion()),
                 planner,
                 peers,
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
@@ -13,6 +13,7 @@
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.http.Address;
+import org.masticcroft.kernel.rollout.FetchView;
 import org.masticcroft.kernel.time.ManualTimeSource;
 
 /** Pattern: two versions named in short succession, of which different sidecars fetch different ones. */
@@ -51,8 +52,40 @@
             announce("10.0.0.3", 2, 1);
             announce("10.0.0.3", 3, 1);
 
-            assertThat(peers.fetchers(2, REGIONS, "r")).containsExactlyInAnyOrder("10.0.0.1", "10.0.0.2", "10.0.0.4");
-            assertThat(peers.fetchers(3, REGIONS, "r")).containsExactlyInAnyOrder("10.0.0.1", "10.0.0.3", "10.0.0.4");
+            assertThat(peers.fetchers(2, REGIONS, "r", true))
+                    .containsExactlyInAnyOrder("10.0.0.1", "10.0.0.2", "10.0.0.4");
+            assertThat(peers.fetchers(3, REGIONS, "r", true))
+                    .containsExactlyInAnyOrder("10.0.0.1", "10.0.0.3", "10.0.0.4");
+        }
+    }
+
+    @Nested
+    class SilentMembers {
+        /** Guards against pieces that wait for an owner which is cut off, as long as the others make progress. */
+        @Test
+        void areNoFetchersOnceTheyShouldHaveAnnounced() {
+            list("10.0.0.1", "10.0.0.2", "10.0.0.3");
+            announce("10.0.0.2", 2, 1);
+
+            assertThat(peers.fetchers(2, REGIONS, "r", false)).containsExactlyInAnyOrder("10.0.0.1", "10.0.0.2");
+        }
+    }
+
+    @Nested
+    class PeersWithoutUploadSlot {
+        /** Guards against a swarm that leaves each busy peer alone for as long as a failed one. */
+        @Test
+        void areAskedAgainBeforeFailedOnes() {
+            announce("10.0.0.2", 2, 1);
+            announce("10.0.0.3", 2, 1);
+            peers.markBusy("10.0.0.2");
+            peers.markFailed("10.0.0.3");
+            time.advance(Duration.ofMillis(150));
+
+            assertThat(peers.holders("m", 2, REGIONS, "r", 1000))
+                    .filteredOn(peer -> peer.suspectedUntilMillis() <= 1000)
+                    .extracting(FetchView.Peer::instance)
+                    .containsExactly("10.0.0.2");
         }
     }
 
