State the number of entries and the used memory with the load of an engine

Cause: an entry can't tell how many others send to an engine, so it can't keep to a share of what the engine tolerates, and it does not know how much of the engine's memory is in use. Nothing uses them yet.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.load.LoadReport;
@@ -131,6 +132,16 @@
         return reportIsFresh(nowNanos) ? report.pace() : 1;
     }
 
+    /** Returns the last stated number of entries that send requests to the upstream; empty if none was stated. */
+    public OptionalInt entries() {
+        return report == null || report.entries() == 0 ? OptionalInt.empty() : OptionalInt.of(report.entries());
+    }
+
+    /** Returns the last stated share of the memory for requests that is in use, from 0 to 1; 0 if none was stated. */
+    public double memoryUsed() {
+        return report == null ? 0 : report.memoryUsed();
+    }
+
     /** Returns the pace that the last load report stated, however old it is; 1 if there was none. */
     public double lastReportedPace() {
         return report == null ? 1 : report.pace();
--- a/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/load/LoadReport.java
@@ -13,6 +13,8 @@
  * @param inDoubt whether it may have taken unsound weights
  * @param servedVersion version of the weights that the engine serves; empty if none
  * @param pace factor by which the engine is slower than its cost model, 1 or more
+ * @param entries number of entries that subscribe to the load of the engine; 0 if unknown
+ * @param memoryUsed share of the memory for requests that is in use, from 0 to 1
  */
 public record LoadReport(
         long startMillis,
@@ -21,8 +23,22 @@
         boolean loading,
         boolean inDoubt,
         OptionalLong servedVersion,
-        double pace) {
+        double pace,
+        int entries,
+        double memoryUsed) {
     public LoadReport {
         Objects.requireNonNull(servedVersion, "servedVersion");
     }
+
+    /** Creates the report of a sidecar that states neither its subscribers nor the memory in use. */
+    public LoadReport(
+            long startMillis,
+            int running,
+            int queued,
+            boolean loading,
+            boolean inDoubt,
+            OptionalLong servedVersion,
+            double pace) {
+        this(startMillis, running, queued, loading, inDoubt, servedVersion, pace, 0, 0);
+    }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetDatagrams.java
@@ -134,7 +134,9 @@
                 load.getLoading(),
                 load.getInDoubt(),
                 load.getServedVersion() > 0 ? OptionalLong.of(load.getServedVersion()) : OptionalLong.empty(),
-                Math.max(1, load.getPace()));
+                Math.max(1, load.getPace()),
+                Math.max(0, load.getEntries()),
+                Math.max(0, Math.min(1, load.getMemoryUsed())));
         long now = time.nanoTime();
         upstreams.applyReport(new Address(sender.ip(), load.getPort()), report, now);
         load.getNamedList().forEach(named -> fleet.applyNamedVersion(named.getModel(), named.getVersion()));
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -284,7 +284,9 @@
                 .setLoading(report.busy() || inDoubt)
                 .setInDoubt(inDoubt)
                 .setServedVersion(inDoubt ? 0 : report.loadedVersion().orElse(0))
-                .setPace((float) report.pace());
+                .setPace((float) report.pace())
+                .setEntries(subscribers.size())
+                .setMemoryUsed((float) report.memoryUsed());
         updater.newestNamedVersion()
                 .ifPresent(named -> load.addNamed(
                         NamedWeights.newBuilder().setModel(named.model()).setVersion(named.version())));
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/EngineReport.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/EngineReport.java
@@ -15,6 +15,7 @@
  * @param loadedVersion version of the weights loaded in all layers; empty if none is loaded
  * @param loadedLayers layers that are loaded, of whichever version
  * @param pace factor by which the engine is slower than its cost model; 1 if it states none
+ * @param memoryUsed share of the memory for requests that is in use, from 0 to 1; 0 if it states none
  */
 public record EngineReport(
         long startMillis,
@@ -25,10 +26,25 @@
         String model,
         OptionalLong loadedVersion,
         LayerRange loadedLayers,
-        double pace) {
+        double pace,
+        double memoryUsed) {
     public EngineReport {
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(loadedVersion, "loadedVersion");
         Objects.requireNonNull(loadedLayers, "loadedLayers");
     }
+
+    /** Creates the report of an engine that does not state its memory. */
+    public EngineReport(
+            long startMillis,
+            int running,
+            int queued,
+            long ordersBegun,
+            boolean busy,
+            String model,
+            OptionalLong loadedVersion,
+            LayerRange loadedLayers,
+            double pace) {
+        this(startMillis, running, queued, ordersBegun, busy, model, loadedVersion, loadedLayers, pace, 0);
+    }
 }
