Share the free slots of engines between many entries

From 35 to 38 s 2,080 attempts ended with 421, because entries that had just started took the versions in the list for loaded. Change: where there are more entries than slots, an entry sends between two load reports what its share of the free slots and its completed requests allow (SlotShare). A refusal as the wrong process or version makes the version of an upstream unknown until its first report.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
@@ -11,7 +11,9 @@
     /** The upstream is cold and has received as many requests as it tolerates for now. */
     COLD_RATE_REACHED(false),
     /** The requests at the upstream leave too little of its memory. */
-    MEMORY_FULL(false);
+    MEMORY_FULL(false),
+    /** This entry has used its share of the free slots of the upstream until the next load report. */
+    SLOT_SHARE_USED(false);
 
     private final boolean lasting;
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.fleet.UpstreamListing;
@@ -45,6 +46,8 @@
     private LoadReport report;
     private long reportNanos;
     private int otherEntriesLoad;
+    private int sentSinceReport;
+    private int endedSinceReport;
     private double failureShare;
     private long lastByteNanos;
     private long lastReceivedNanos;
@@ -142,6 +145,26 @@
         return report == null ? 0 : report.memoryUsed();
     }
 
+    /** Returns the last load report, if it is recent enough to state the load. */
+    Optional<LoadReport> freshReport(long nowNanos) {
+        return reportIsFresh(nowNanos) ? Optional.of(report) : Optional.empty();
+    }
+
+    /** Returns the monotonic time in nanoseconds at which the last load report was received. */
+    long reportNanos() {
+        return reportNanos;
+    }
+
+    /** Returns the number of requests that this entry has sent since the last load report. */
+    int sentSinceReport() {
+        return sentSinceReport;
+    }
+
+    /** Returns the number of requests of this entry that have ended since the last load report. */
+    int endedSinceReport() {
+        return endedSinceReport;
+    }
+
     /** Returns the pace that the last load report stated, however old it is; 1 if there was none. */
     public double lastReportedPace() {
         return report == null ? 1 : report.pace();
@@ -203,6 +226,8 @@
     void applyReport(LoadReport newReport, long nowNanos) {
         report = newReport;
         reportNanos = nowNanos;
+        sentSinceReport = 0;
+        endedSinceReport = 0;
         otherEntriesLoad = Math.max(0, newReport.running() + newReport.queued() - inFlight);
         servedVersion = newReport.servedVersion();
     }
@@ -222,6 +247,17 @@
         }
     }
 
+    /**
+     * Records that the upstream refused a request because it is another process or serves another version than assumed.
+     * A process without a load report is known only from the list, which lags, so its version counts as unknown until
+     * it is reported or listed anew.
+     */
+    public void recordMismatch() {
+        if (report == null) {
+            servedVersion = OptionalLong.empty();
+        }
+    }
+
     /** Records that a request was sent to the upstream. */
     public void recordSend(double promptTokens, long nowNanos) {
         if (inFlight == 0) {
@@ -229,6 +265,7 @@
         }
         breaker.tryAcquire(nowNanos);
         inFlight++;
+        sentSinceReport++;
         unansweredSinceNanos.addLast(nowNanos);
         pendingPromptTokens += promptTokens;
     }
@@ -253,6 +290,7 @@
     /** Records that a request of this entry has ended. */
     public void recordEnd() {
         inFlight--;
+        endedSinceReport++;
     }
 
     /** Records that a byte was received from the upstream. */
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -325,6 +325,7 @@
 
     private void handleRefusal() {
         if (head.wrongUpstream()) {
+            upstream.recordMismatch();
             fail(Verdict.NOT_RUN, "wrong-upstream", false);
         } else {
             fail(Verdict.NOT_RUN, "upstream-full", true);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -20,8 +20,10 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
+import org.masticcroft.gateway.dispatch.SlotShare;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
@@ -168,7 +170,7 @@
                 datagrams::sidecars,
                 datagrams::send,
                 (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
-        this.chooser = UpstreamChooser.of(settings.zone());
+        this.chooser = UpstreamChooser.of(settings.zone(), PlacementRules.of(SlotShare.of(settings.ip())));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
