Exclude evacuated data centres and regions that a request does not allow

Cause: the operator could not request that nothing more be sent to a data centre, and a route or a customer could not limit the regions in which its requests are served. A deleted record of the operator was dropped, and a record with an unknown key had no effect. FleetState holds the evacuations; a full read without a record revokes one. Two placement rules exclude upstreams for good, so a request that none may serve is refused at once, also out of the queue. Whether a retry is possible counts only upstreams that may serve the request. Events 1106 and 1107 and a gauge show evacuations.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/Customer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/Customer.java
@@ -10,11 +10,13 @@
  * @param name name of the customer
  * @param keys API keys that identify requests of the customer
  * @param rank rank that takes precedence over the rank of a route; empty if the customer has none
+ * @param allowedRegions regions in which requests of the customer may be served
  */
-public record Customer(String name, List<String> keys, OptionalInt rank) {
+public record Customer(String name, List<String> keys, OptionalInt rank, AllowedRegions allowedRegions) {
     public Customer {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(rank, "rank");
+        Objects.requireNonNull(allowedRegions, "allowedRegions");
         keys = List.copyOf(keys);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
@@ -87,6 +87,20 @@
         return Optional.ofNullable(customersByKey.get(key));
     }
 
+    /**
+     * Returns the regions in which a request may be served, which its route and its customer must both allow.
+     *
+     * @param host host name of the request
+     * @param path path of the request
+     * @param key API key of the request; empty if it has none
+     */
+    public AllowedRegions allowedRegions(String host, String path, Optional<String> key) {
+        AllowedRegions ofRoute = route(host, path).map(Route::allowedRegions).orElse(AllowedRegions.all());
+        return key.flatMap(this::customer)
+                .map(customer -> ofRoute.intersection(customer.allowedRegions()))
+                .orElse(ofRoute);
+    }
+
     /** Returns the service with a name, if it is configured. */
     public Optional<UpstreamService> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/Route.java
@@ -20,6 +20,7 @@
  * @param maxUpstreams maximum number of upstreams that may run one request
  * @param anonymous whether requests are accepted without an API key
  * @param resumable whether a stream that broke off may be resumed by another upstream
+ * @param allowedRegions regions in which the requests may be served
  */
 public record Route(
         String name,
@@ -33,7 +34,8 @@
         List<ServiceShare> services,
         int maxUpstreams,
         boolean anonymous,
-        boolean resumable) {
+        boolean resumable,
+        AllowedRegions allowedRegions) {
     /** Checks that no value is missing and copies the list. */
     public Route {
         Objects.requireNonNull(name, "name");
@@ -43,6 +45,7 @@
         Objects.requireNonNull(timeout, "timeout");
         Objects.requireNonNull(target, "target");
         Objects.requireNonNull(callerTimeout, "callerTimeout");
+        Objects.requireNonNull(allowedRegions, "allowedRegions");
         services = List.copyOf(services);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -116,13 +116,26 @@
             long nowNanos) {
         return upstreams.stream()
                 .filter(upstream -> upstream.usable(nowNanos))
-                .filter(upstream -> !rules.check(request, upstream, nowNanos).lasting())
+                .filter(upstream -> allows(request, upstream, nowNanos))
                 .anyMatch(upstream -> profile.isEmpty()
                         || (!upstream.loading()
                                 && servesVersion(
                                         upstream, versions, untilBegin(0, upstream, profile.get(), nowNanos))));
     }
 
+    /** Returns whether no rule excludes an upstream for good, as it may since the upstream was chosen. */
+    public boolean allows(QueuedRequest request, Upstream upstream, long nowNanos) {
+        return !rules.check(request, upstream, nowNanos).lasting();
+    }
+
+    /** Returns whether an upstream accepts requests that may serve a request and was not tried for it yet. */
+    public boolean anyUntried(QueuedRequest request, List<Upstream> upstreams, long nowNanos) {
+        return upstreams.stream()
+                .filter(upstream -> upstream.acceptsRequests(nowNanos))
+                .filter(upstream -> !request.triedUpstreams().contains(upstream.id()))
+                .anyMatch(upstream -> allows(request, upstream, nowNanos));
+    }
+
     /** Returns the time until any usable upstream is past the pause it asked for; zero if one is, or none is usable. */
     static Duration untilPauseEnds(List<Upstream> upstreams, long nowNanos) {
         return upstreams.stream()
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.masticcroft.gateway.config.AllowedRegions;
 import org.masticcroft.gateway.config.Customer;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.RouteKind;
@@ -68,6 +69,7 @@
     private final Set<String> triedUpstreams = new HashSet<>();
     private final AttemptHistory history = new AttemptHistory();
     private final ResponseDigest digest = new ResponseDigest();
+    private final RegionLimit regions;
 
     private Future<?> deadlineTimer;
     private UpstreamAttempt attempt;
@@ -100,6 +102,7 @@
         this.route = route;
         this.customer = customer;
         this.writer = writer;
+        this.regions = RegionLimit.ofArrival(context, request);
         this.service = route.pickService(context.random().nextDouble());
         this.arrivalNanos = writer.earliestArrivalNanos();
         Duration timeout = route.timeLimit(request.deadline());
@@ -185,6 +188,11 @@
         return triedUpstreams;
     }
 
+    @Override
+    public AllowedRegions allowedRegions() {
+        return regions.current();
+    }
+
     public CallerRequest request() {
         return request;
     }
@@ -537,7 +545,7 @@
         return attempts < MAX_ATTEMPTS
                 && possibleRuns + 1 < route.maxUpstreams()
                 && context.retryAvailable(service)
-                && context.hasUntriedUpstream(service, triedUpstreams);
+                && context.hasUntriedUpstream(this);
     }
 
     private boolean mayRetry(Verdict verdict) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
+import org.masticcroft.gateway.config.AllowedRegions;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.CallFailure;
@@ -65,8 +65,14 @@
     /** Takes a retry from the retry budget of a service; returns false if the budget is spent. */
     boolean tryRetry(String service);
 
-    /** Returns whether a service has an upstream that accepts requests and was not tried yet. */
-    boolean hasUntriedUpstream(String service, Set<String> triedUpstreams);
+    /** Returns whether the service has an upstream that accepts the request and was not tried yet. */
+    boolean hasUntriedUpstream(Exchange exchange);
+
+    /** Returns the regions in which the configuration in force allows a request to be served. */
+    AllowedRegions allowedRegions(CallerRequest request);
+
+    /** Returns whether a request may still be sent to the upstream that was chosen for it. */
+    boolean placementAllowed(Exchange exchange, Upstream upstream);
 
     /** Is called when an upstream failed that may have run a request and had sent nothing of the response. */
     void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -139,11 +139,16 @@
         return exchange.id();
     }
 
-    /** A caller that has left while the connection was established has its request sent to no upstream. */
+    /**
+     * Sends nothing if the caller has left while the connection was established, or if the upstream must not get the
+     * request any more because of an evacuation or a new configuration.
+     */
     @Override
     public void onConnected() {
         if (!exchange.callerConnected()) {
             call.cancel();
+        } else if (!context.placementAllowed(exchange, upstream)) {
+            withdraw("placement-changed");
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetChange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetChange.java
@@ -19,6 +19,20 @@
         }
     }
 
+    /** The operator requested that nothing more be sent to the upstreams of a data centre. */
+    record EvacuationRequested(String dataCentre) implements FleetChange {
+        public EvacuationRequested {
+            Objects.requireNonNull(dataCentre, "dataCentre");
+        }
+    }
+
+    /** The operator revoked the evacuation of a data centre. */
+    record EvacuationRevoked(String dataCentre) implements FleetChange {
+        public EvacuationRevoked {
+            Objects.requireNonNull(dataCentre, "dataCentre");
+        }
+    }
+
     /** An upstream was added to the list, or its listing changed. */
     record UpstreamListed(UpstreamListing listing) implements FleetChange {
         public UpstreamListed {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -15,11 +15,15 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.masticcroft.gateway.config.AllowedRegions;
 import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.dispatch.AllowedRegionsRule;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
+import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
 import org.masticcroft.gateway.dispatch.Upstream;
@@ -168,7 +172,10 @@
                 datagrams::sidecars,
                 datagrams::send,
                 (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
-        this.chooser = UpstreamChooser.of(settings.zone());
+        this.chooser = UpstreamChooser.of(
+                settings.zone(),
+                PlacementRules.of(
+                        EvacuatedDataCentres.of(fleet.evacuations()), AllowedRegionsRule.of(settings::regionOf)));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
@@ -221,6 +228,9 @@
         metrics.gauge(
                 Series.of("masticcroft_prompt_parts_quarantined"),
                 () -> promptParts.quarantined().size());
+        metrics.gauge(
+                Series.of("masticcroft_data_centres_evacuated"),
+                () -> fleet.evacuations().count());
         metrics.gauge(Series.of("masticcroft_config_version"), this::configVersion);
         metrics.gauge(
                 Series.of("masticcroft_config_age_ms"),
@@ -375,10 +385,20 @@
     }
 
     @Override
-    public boolean hasUntriedUpstream(String service, Set<String> tried) {
-        long now = time.nanoTime();
-        return upstreams.ofService(service).stream()
-                .anyMatch(upstream -> upstream.acceptsRequests(now) && !tried.contains(upstream.id()));
+    public boolean hasUntriedUpstream(Exchange exchange) {
+        return chooser.anyUntried(exchange, upstreams.ofService(exchange.service()), time.nanoTime());
+    }
+
+    @Override
+    public AllowedRegions allowedRegions(CallerRequest request) {
+        return fleet.config()
+                .map(config -> config.allowedRegions(request.host(), request.path(), request.key()))
+                .orElse(AllowedRegions.all());
+    }
+
+    @Override
+    public boolean placementAllowed(Exchange exchange, Upstream upstream) {
+        return chooser.allows(exchange, upstream, time.nanoTime());
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -14,6 +16,7 @@
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryFollower;
+import org.masticcroft.gateway.fleet.Evacuations;
 import org.masticcroft.gateway.fleet.ExecutionPauses;
 import org.masticcroft.gateway.fleet.FleetChange;
 import org.masticcroft.gateway.fleet.NamedVersions;
@@ -23,7 +26,7 @@
 import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.time.TimeSource;
 
-/** State of the fleet as an entry knows it: configuration, named versions of weights and listed upstreams. */
+/** State of the fleet as an entry knows it: configuration, named weights, evacuations and listed upstreams. */
 final class FleetState implements DirectoryFollower.Listener {
     private final TimeSource time;
     private final UpstreamTable upstreams;
@@ -35,6 +38,7 @@
     private final InputClock inputs;
     private final ExecutionPauses pauses;
     private final DeferredRemovals deferredRemovals;
+    private final Evacuations evacuations = Evacuations.none();
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
     private boolean operatorDirectoryRead;
@@ -77,6 +81,10 @@
         return config;
     }
 
+    Evacuations evacuations() {
+        return evacuations;
+    }
+
     /** Returns the cost model of a service, if it has one. */
     Optional<EngineProfile> profile(String service) {
         return config.flatMap(published -> published.service(service)).flatMap(UpstreamService::profile);
@@ -92,6 +100,7 @@
         changed(directory, changes);
         if (directory == Directory.OPERATOR) {
             operatorDirectoryRead = true;
+            revokeMissingEvacuations(changes);
         } else {
             upstreamsDirectoryRead = true;
             List<String> ids = new ArrayList<>();
@@ -153,6 +162,10 @@
             applyConfig(published.config());
         } else if (change instanceof FleetChange.WeightsNamed named) {
             recordNamedVersion(named.model(), named.version());
+        } else if (change instanceof FleetChange.EvacuationRequested requested) {
+            requestEvacuation(requested.dataCentre());
+        } else if (change instanceof FleetChange.EvacuationRevoked revoked) {
+            revokeEvacuation(revoked.dataCentre());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
             deferredRemovals.cancel(listed.listing().id());
             upstreams.put(listed.listing(), now);
@@ -226,6 +239,31 @@
         log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
     }
 
+    private void requestEvacuation(String dataCentre) {
+        if (evacuations.request(dataCentre)) {
+            account.recordChange("evacuation-requested", Map.of("data-centre", dataCentre));
+            log.write(Event.EVACUATION_REQUESTED, "data_centre", dataCentre);
+        }
+    }
+
+    private void revokeEvacuation(String dataCentre) {
+        if (evacuations.revoke(dataCentre, time.nanoTime())) {
+            account.recordChange("evacuation-revoked", Map.of("data-centre", dataCentre));
+            log.write(Event.EVACUATION_REVOKED, "data_centre", dataCentre);
+        }
+    }
+
+    /** Revokes the evacuations whose records were deleted in a time that this process has not followed. */
+    private void revokeMissingEvacuations(List<FleetChange> snapshot) {
+        Set<String> requested = new HashSet<>();
+        for (FleetChange change : snapshot) {
+            if (change instanceof FleetChange.EvacuationRequested evacuation) {
+                requested.add(evacuation.dataCentre());
+            }
+        }
+        evacuations.notAmong(requested).forEach(this::revokeEvacuation);
+    }
+
     private void applyConfig(GatewayConfig published) {
         long current = config.map(GatewayConfig::version).orElse(-1L);
         if (published.version() <= current) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.masticcroft.gateway.config.AllowedRegions;
 
 /** A request that records whether it was dispatched or refused. */
 final class FakeRequest implements QueuedRequest {
@@ -14,6 +15,7 @@
     private final Duration target;
     private final Duration callerTimeout;
     private final Set<String> triedUpstreams = new HashSet<>();
+    AllowedRegions allowedRegions = AllowedRegions.all();
     Optional<Choice> choice = Optional.empty();
     Optional<Refusal> refusal = Optional.empty();
 
@@ -70,6 +72,11 @@
         return triedUpstreams;
     }
 
+    @Override
+    public AllowedRegions allowedRegions() {
+        return allowedRegions;
+    }
+
     @Override
     public void dispatch(Choice chosen) {
         choice = Optional.of(chosen);
--- a/gateway/src/test/java/org/masticcroft/gateway/exchange/ResponseTimesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/exchange/ResponseTimesTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.AllowedRegions;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.config.RouteKind;
 import org.masticcroft.gateway.http.CallerRequest;
@@ -30,7 +31,8 @@
                 List.of(),
                 1,
                 true,
-                true);
+                true,
+                AllowedRegions.all());
     }
 
     private static CallerRequest request(Optional<CallerRequest.Generation> generation) {
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -97,6 +97,43 @@
         }
     }
 
+    /** Pattern: the operator evacuates a data centre while the store comes and goes. */
+    @Nested
+    class AnEvacuation {
+        private static final FleetChange REQUESTED = new FleetChange.EvacuationRequested("z");
+
+        @Test
+        void isInForceUntilItIsRevoked() {
+            fleet.changed(Directory.OPERATOR, List.of(REQUESTED));
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
+
+            fleet.changed(Directory.OPERATOR, List.of(new FleetChange.EvacuationRevoked("z")));
+            assertThat(fleet.evacuations().inForce("z")).isFalse();
+            assertThat(fleet.evacuations().revokedNanos("z")).hasValue(time.nanoTime());
+        }
+
+        /** Guards against an evacuation that outlasts its record, because the deletion was not read. */
+        @Test
+        void endsWithAFullReadThatLacksItsRecord() {
+            fleet.snapshot(Directory.OPERATOR, List.of(REQUESTED, new FleetChange.EvacuationRequested("y")));
+            fleet.snapshot(Directory.OPERATOR, List.of(REQUESTED));
+
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
+            assertThat(fleet.evacuations().inForce("y")).isFalse();
+        }
+
+        /** Guards against a list of upstreams, or an outage of the store, that ends an evacuation. */
+        @Test
+        void outlastsReadsOfTheOtherDirectoryAndOutages() {
+            fleet.snapshot(Directory.OPERATOR, List.of(REQUESTED));
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a")));
+            fleet.storeRecovered(Directory.OPERATOR);
+            fleet.changed(Directory.OPERATOR, List.of());
+
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
+        }
+    }
+
     /** Pattern: entries expire during an outage of the store and return within seconds. */
     @Nested
     class ADeferredRemoval {
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -16,6 +16,9 @@
     CONFIG_RECORD_IGNORED(1103, "A record of the configuration stream has no effect; the reason is given."),
     CONFIG_SNAPSHOT_APPENDED(1104, "A snapshot of the configuration was re-published before retention."),
     WEIGHTS_NAMED(1105, "The operator named a new version of the weights of a model."),
+    EVACUATION_REQUESTED(1106, "The operator requested that nothing more be sent to a data centre."),
+    EVACUATION_REVOKED(
+            1107, "The operator revoked the evacuation of a data centre; its upstreams are refilled gradually."),
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
