Show that a status which is not final reaches a caller

Cause: a failing engine may send a head with status 000 or another number outside 200 to 599, and the client takes any status for that of a response. Change: tests only, tagged known-red.

--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -31,9 +31,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.masticcroft.kernel.time.TimeSource;
 
 class PooledHttpClientTest {
@@ -275,6 +277,56 @@
         }
     }
 
+    /** Pattern: a failing server sends a head whose status is not one of a final response. */
+    @Nested
+    class StatusesThatAreNotFinal {
+        private static String odd(String status) {
+            return "HTTP/1.1 " + status + " Odd\r\nId: first\r\nContent-Length: 3\r\n\r\nodd";
+        }
+
+        /** Guards against a listener that takes such a head for a response, or waits for another one in vain. */
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "099", "101", "102", "199", "600", "999"})
+        @Tag("known-red")
+        void areMalformed(String status) throws Exception {
+            try (MisbehavingServer server =
+                    MisbehavingServer.start((request, out) -> out.write(MisbehavingServer.bytes(odd(status))))) {
+                assertThat(send(server, "first")).isEqualTo("MALFORMED");
+            }
+        }
+
+        /** Guards against a result of a whole call, as those to the store and the sidecars, that looks like one. */
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "600"})
+        @Tag("known-red")
+        void areFailuresOfABufferedCall(String status) throws Exception {
+            try (MisbehavingServer server =
+                    MisbehavingServer.start((request, out) -> out.write(MisbehavingServer.bytes(odd(status))))) {
+                CompletableFuture<BufferedCall.Result> result = new CompletableFuture<>();
+                BufferedCall.Limits limits = new BufferedCall.Limits(MAX_IDLE, Duration.ofSeconds(TIMEOUT_SECONDS));
+                loop.execute(() -> BufferedCall.send(
+                        client,
+                        loop,
+                        server.address(),
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                        limits,
+                        result::complete));
+                assertThat(result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).reason())
+                        .isEqualTo("MALFORMED");
+            }
+        }
+
+        /** Guards against a final response that is lost because an interim one preceded it. */
+        @ParameterizedTest
+        @ValueSource(strings = {"100", "102", "103"})
+        void mayPrecedeTheFinalOneIfTheyAreInterim(String status) throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> out.write(
+                    MisbehavingServer.bytes("HTTP/1.1 " + status + " Interim\r\n\r\n" + response("first", "one"))))) {
+                assertThat(send(server, "first")).isEqualTo("one");
+            }
+        }
+    }
+
     @Nested
     class ResponsesWithoutAnId {
         private static final String UNIDENTIFIED = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
