Share prefill time between entries, and rank requests by when their first byte is due

A waiting request counted as on time until its target had passed, so it was sent when its response could only be late. The queue counts a request as late from the time at which its expected first byte, up to half of the target, comes after the target.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -168,15 +168,21 @@
     }
 
     /** Returns the position in the order of dispatch; lower is dispatched first. */
-    static double priority(QueuedRequest request, long nowNanos) {
+    private double priority(QueuedRequest request, long nowNanos) {
         if (request.alreadySent()) {
             return ALREADY_SENT_PRIORITY;
         }
         return request.rank().order() + (isLate(request, nowNanos) ? LATE_RANK_PENALTY : 0);
     }
 
-    private static boolean isLate(QueuedRequest request, long nowNanos) {
-        return nowNanos - request.waitingSinceNanos() > request.target().toNanos();
+    /**
+     * Returns whether the first byte of a request that is sent now comes after its target. The expected time counts up
+     * to half of the target, so that a service in which nothing is on time still serves new requests first.
+     */
+    private boolean isLate(QueuedRequest request, long nowNanos) {
+        long targetNanos = request.target().toNanos();
+        long expectedNanos = Math.min(estimate.measuredTimeToFirstByte().toNanos(), targetNanos / 2);
+        return nowNanos + expectedNanos - request.waitingSinceNanos() > targetNanos;
     }
 
     private Optional<QueuedRequest> first(long now, Set<QueuedRequest> excluded) {
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/WaitEstimate.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/WaitEstimate.java
@@ -28,6 +28,7 @@
 
     private final RateMeter dispatches;
     private final Map<Integer, RateMeter> arrivals = new HashMap<>();
+    private boolean measured;
     private double firstByteMillis = INITIAL_FIRST_BYTE_MILLIS;
 
     private WaitEstimate(long nowNanos) {
@@ -48,9 +49,15 @@
     }
 
     void recordTimeToFirstByte(Duration timeToFirstByte) {
+        measured = true;
         firstByteMillis += FIRST_BYTE_SMOOTHING * (timeToFirstByte.toMillis() - firstByteMillis);
     }
 
+    /** Returns the smoothed time from dispatch to first byte; zero before one was measured. */
+    Duration measuredTimeToFirstByte() {
+        return measured ? timeToFirstByte() : Duration.ZERO;
+    }
+
     /** Returns the smoothed time from the dispatch of a request to the first byte of its response. */
     Duration timeToFirstByte() {
         return Duration.ofMillis((long) firstByteMillis);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -178,7 +178,7 @@
                 PlacementRules.of(
                         EvacuatedDataCentres.of(fleet.evacuations()),
                         AllowedRegionsRule.of(settings::regionOf),
-                        SlotShare.of(settings.ip())));
+                        SlotShare.of(settings.ip(), fleet::profile)));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -11,6 +11,7 @@
     private final String id;
     private final Rank rank;
     boolean alreadySent;
+    int promptTokens = 800;
     private final long arrivalNanos;
     private final Duration target;
     private final Duration callerTimeout;
@@ -64,7 +65,7 @@
 
     @Override
     public int promptTokens() {
-        return 800;
+        return promptTokens;
     }
 
     @Override
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -186,6 +186,23 @@
             assertThat(late.choice).isEmpty();
         }
 
+        // Guards against a backlog in which each request is sent when it can only just be late.
+        @Test
+        void dispatchesARequestThatCanBeOnTimeBeforeOneThatNoLongerCan() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            for (int response = 0; response < 50; response++) {
+                queue.recordTimeToFirstByte(TARGET.dividedBy(2));
+            }
+            FakeRequest a = add("a", 2);
+            add("b", 2);
+            FakeRequest almostLate = add("almost-late", 1);
+            time.advance(TARGET.multipliedBy(2).dividedBy(3));
+            FakeRequest fresh = add("fresh", 2);
+            complete(a);
+            assertThat(fresh.choice).isPresent();
+            assertThat(almostLate.choice).isEmpty();
+        }
+
         @Test
         void queuesTheFirstRankInAFullEngine() {
             list("e1", "10.0.0.1", "z1", 1, false);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
@@ -5,9 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.load.LoadReport;
@@ -15,6 +17,7 @@
 /** Load: many entries with waiting requests learn at the same moment that an engine has free slots. */
 class SlotShareTest {
     private static final int SLOTS = 12;
+    private static final EngineProfile PROFILE = new EngineProfile("m", 7, 7.4, 0.04, 32);
 
     private static UpstreamListing listing() {
         return new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", SLOTS, false, 1, OptionalLong.of(1));
@@ -26,9 +29,15 @@
 
     /** Returns how many requests an entry sends until the next report. */
     private static int sends(int entry, Upstream upstream, long nowNanos) {
-        SlotShare rule = SlotShare.of("10.0.1." + entry);
+        return sends(entry, upstream, nowNanos, 0);
+    }
+
+    private static int sends(int entry, Upstream upstream, long nowNanos, int promptTokens) {
+        SlotShare rule = SlotShare.of("10.0.1." + entry, service -> Optional.of(PROFILE));
+        FakeRequest request = request();
+        request.promptTokens = promptTokens;
         int sent = 0;
-        while (sent < 2 * SLOTS && rule.check(request(), upstream, nowNanos) == PlacementDecision.ALLOWED) {
+        while (sent < 2 * SLOTS && rule.check(request, upstream, nowNanos) == PlacementDecision.ALLOWED) {
             upstream.recordSend(0, nowNanos);
             sent++;
         }
@@ -62,6 +71,19 @@
         void getsLittleMoreThanItsSlots() {
             assertThat(sendsOfAll(20, 0)).isBetween(SLOTS / 2, 2 * SLOTS);
         }
+
+        /** Guards against prompts that delay each other's first bytes because they fill all slots at once. */
+        @Test
+        void getsNoMorePromptsThanItPrefillsSoon() {
+            int promptTokens = 960;
+            List<Upstream> views = views(20, 0);
+            int sent = 0;
+            for (int entry = 0; entry < views.size(); entry++) {
+                sent += sends(entry, views.get(entry), 2_000, promptTokens);
+            }
+
+            assertThat(sent * PROFILE.prefillMillis(promptTokens)).isBetween(60.0, 400.0);
+        }
     }
 
     @Nested
