--- a/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/UpstreamService.java
@@ -12,13 +12,21 @@
  * @param origin address of the origin of weights, if the service is the origin
  * @param originZone data centre of the origin; empty if the service is not the origin
  * @param maxConnections connections that an upstream accepts from all callers; 0 if unknown
+ * @param cold what a cold upstream tolerates
  */
 public record UpstreamService(
-        String name, Optional<EngineProfile> profile, Optional<Address> origin, String originZone, int maxConnections) {
+        String name,
+        Optional<EngineProfile> profile,
+        Optional<Address> origin,
+        String originZone,
+        int maxConnections,
+        ColdLimits cold) {
+    /** Rejects missing values. */
     public UpstreamService {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(profile, "profile");
         Objects.requireNonNull(origin, "origin");
         Objects.requireNonNull(originZone, "originZone");
+        Objects.requireNonNull(cold, "cold");
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
@@ -1,5 +1,6 @@
 package org.masticcroft.gateway.fleet;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.http.Address;
@@ -15,6 +16,7 @@
  * @param leaving whether it is leaving and takes no new requests
  * @param startMillis start of the process, in milliseconds of Unix time; 0 if unknown
  * @param loadedVersion version of the loaded weights; empty if none is loaded or for a plain service
+ * @param coldRemaining time from the receipt of the entry for which the upstream is cold; zero if it is not
  */
 public record UpstreamListing(
         String id,
@@ -24,7 +26,8 @@
         int slots,
         boolean leaving,
         long startMillis,
-        OptionalLong loadedVersion) {
+        OptionalLong loadedVersion,
+        Duration coldRemaining) {
     /** Rejects missing values. */
     public UpstreamListing {
         Objects.requireNonNull(id, "id");
@@ -32,5 +35,19 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(loadedVersion, "loadedVersion");
+        Objects.requireNonNull(coldRemaining, "coldRemaining");
+    }
+
+    /** Creates the entry of an upstream that is not cold. */
+    public UpstreamListing(
+            String id,
+            String service,
+            Address address,
+            String zone,
+            int slots,
+            boolean leaving,
+            long startMillis,
+            OptionalLong loadedVersion) {
+        this(id, service, address, zone, slots, leaving, startMillis, loadedVersion, Duration.ZERO);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseHead.java
@@ -16,6 +16,7 @@
  * @param weightsVersion version of the weights that served the request, if stated
  * @param pause time for which the upstream wants no requests from this process, if stated
  * @param leaving whether the upstream states that it is about to exit
+ * @param cold time for which the upstream states that it is cold; zero if it states none
  */
 public record ResponseHead(
         int status,
@@ -25,11 +26,14 @@
         boolean signed,
         OptionalLong weightsVersion,
         Optional<Duration> pause,
-        boolean leaving) {
+        boolean leaving,
+        Duration cold) {
+    /** Rejects missing values. */
     public ResponseHead {
         Objects.requireNonNull(attemptId, "attemptId");
         Objects.requireNonNull(weightsVersion, "weightsVersion");
         Objects.requireNonNull(pause, "pause");
+        Objects.requireNonNull(cold, "cold");
     }
 
     /** Returns whether the response has a 2xx status and is signed by the upstream. */
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -63,9 +63,17 @@
      * @param grace time from the request to stop until the platform ends the process
      * @param retryShare largest ratio of retries to requests in a window
      * @param retryWindow length of the window
+     * @param coldOver ratio of the requests that a cold upstream may receive in a second to those that it tolerates
+     * @param coldSlack requests that a cold upstream may receive in a second beyond that
      */
     public record Bounds(
-            Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
+            Duration revocation,
+            Duration versionChange,
+            Duration grace,
+            double retryShare,
+            Duration retryWindow,
+            double coldOver,
+            double coldSlack) {
         /**
          * Time before the bound on version changes at which engines of an older version get no new requests, because a
          * request may still wait in the queue of an engine.
@@ -78,6 +86,12 @@
         /** Fraction of the grace period at whose end open requests may be ended. */
         private static final int GRACE_END_DIVISOR = 6;
 
+        /** Creates bounds under which a cold upstream never receives more requests than it tolerates. */
+        public Bounds(
+                Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
+            this(revocation, versionChange, grace, retryShare, retryWindow, 1, 0);
+        }
+
         /** Returns the time from the request to stop until the requests that are still open are ended. */
         public Duration openRequestsEnd() {
             Duration graceEnd = grace.dividedBy(GRACE_END_DIVISOR);
