Keep the requests to a cold upstream within what it tolerates

Cause: an engine that has just started, or turns cold again, crashes on a burst, and an idle one attracts requests of all entries. EntryNodeTest.thatAskForAPauseGetNoRequestsForThatTime failed once in three runs, at a load average of 25 on 7 cores: its ten requests probably took longer than the pause of 2 s.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -51,6 +51,10 @@
     private long pausedUntilNanos;
     private long askedPauseEndNanos;
     private int consecutiveRefusals;
+    private long coldUntilNanos;
+    private String coldCause = "";
+    private long newestStartMillis;
+    private OptionalLong restartNanos = OptionalLong.empty();
     private final RecentMaximum slowestFirstByte;
     private final Deque<Long> unansweredSinceNanos = new ArrayDeque<>();
 
@@ -61,6 +65,7 @@
         this.lastReceivedNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
         this.askedPauseEndNanos = nowNanos;
+        this.coldUntilNanos = nowNanos;
         this.slowestFirstByte = RecentMaximum.over(SLOWEST_FIRST_BYTE_WINDOW, nowNanos);
     }
 
@@ -175,6 +180,48 @@
         return !removed && !saysLeaving && !listing.leaving() && breaker.isCallPermitted(nowNanos);
     }
 
+    /** Returns whether the upstream is cold, so that it crashes on more requests than its service tolerates then. */
+    public boolean cold(long nowNanos) {
+        return coldUntilNanos - nowNanos > 0;
+    }
+
+    /** Returns the time for which the upstream stays cold, or a negative time since it was cold. */
+    Duration coldRemaining(long nowNanos) {
+        return Duration.ofNanos(coldUntilNanos - nowNanos);
+    }
+
+    /** Returns from what this entry knows that the upstream is cold. */
+    String coldCause() {
+        return coldCause;
+    }
+
+    /**
+     * Records that the upstream is cold; the latest end of all statements counts, because the list lags.
+     *
+     * @param remaining time for which it stays cold; without effect if not positive
+     * @param cause from what this entry knows, for the log
+     */
+    public void recordCold(Duration remaining, String cause, long nowNanos) {
+        long endNanos = nowNanos + remaining.toNanos();
+        if (endNanos - nowNanos > 0 && endNanos - coldUntilNanos > 0) {
+            coldUntilNanos = endNanos;
+            coldCause = cause;
+        }
+    }
+
+    /** Records that its sidecar reports a process that started later than the listed one, with its Unix time. */
+    void recordRestart(long startMillis, long nowNanos) {
+        if (startMillis > newestStartMillis) {
+            newestStartMillis = startMillis;
+            restartNanos = OptionalLong.of(nowNanos);
+        }
+    }
+
+    /** Returns when its sidecar first reported a later process than the listed one; empty if it has not. */
+    OptionalLong restartNanos() {
+        return restartNanos;
+    }
+
     boolean removed() {
         return removed;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.http.Address;
@@ -47,14 +48,39 @@
         return byId.values().stream().filter(upstream -> !upstream.removed()).toList();
     }
 
+    /** Returns the largest number of entries that any sidecar states; empty if none states it. */
+    OptionalInt statedEntries() {
+        int entries = 0;
+        for (Upstream upstream : byId.values()) {
+            if (!upstream.removed()) {
+                entries = Math.max(entries, upstream.entries().orElse(0));
+            }
+        }
+        return entries == 0 ? OptionalInt.empty() : OptionalInt.of(entries);
+    }
+
     /** Adds an upstream, or updates its listing. An upstream whose process was restarted starts with a new state. */
     public void put(UpstreamListing listing, long nowNanos) {
+        put(listing, Duration.ZERO, nowNanos);
+    }
+
+    /**
+     * Does the same for a list that is read during traffic.
+     *
+     * @param listing entry of the list
+     * @param coldTime time for which a process that was not listed before is cold, whatever its entry states
+     * @param nowNanos monotonic time in nanoseconds
+     */
+    public void put(UpstreamListing listing, Duration coldTime, long nowNanos) {
         Upstream known = byId.get(listing.id());
         if (known == null || known.listing().startMillis() != listing.startMillis()) {
-            byId.put(listing.id(), Upstream.of(listing, nowNanos));
+            Upstream started = Upstream.of(listing, nowNanos);
+            started.recordCold(coldTime, "started", nowNanos);
+            byId.put(listing.id(), started);
         } else {
             known.updateListing(listing);
         }
+        byId.get(listing.id()).recordCold(listing.coldRemaining(), "listed", nowNanos);
         log.write(
                 listing.leaving() ? Event.UPSTREAM_NOT_ROUTABLE : Event.UPSTREAM_ROUTABLE,
                 "upstream",
@@ -102,6 +128,9 @@
                     && listing.startMillis() == report.startMillis()
                     && listing.address().equals(address)) {
                 upstream.applyReport(report, nowNanos);
+            } else if (listing.startMillis() < report.startMillis()
+                    && listing.address().equals(address)) {
+                upstream.recordRestart(report.startMillis(), nowNanos);
             }
         }
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -166,6 +166,7 @@
                 .map(type -> type.toString().toLowerCase(Locale.ROOT));
         upstream.updateServedVersion(head.weightsVersion());
         head.pause().ifPresent(this::recordPause);
+        upstream.recordCold(head.cold(), "stated", context.time().nanoTime());
         if (head.leaving() && upstream.recordLeaving()) {
             context.log()
                     .write(
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -19,7 +19,9 @@
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.dispatch.ColdUpstreams;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
 import org.masticcroft.gateway.dispatch.Upstream;
@@ -108,6 +110,7 @@
     private final FleetState fleet;
     private final ConfigValidity configValidity;
     private final RequestFilter filter;
+    private final ColdUpstreams coldUpstreams;
     private final UpstreamChooser chooser;
     private final HttpServer callerServer;
     private final GracefulStop stop;
@@ -168,7 +171,13 @@
                 datagrams::sidecars,
                 datagrams::send,
                 (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
-        this.chooser = UpstreamChooser.of(settings.zone());
+        this.coldUpstreams = ColdUpstreams.of(
+                upstreams,
+                fleet::coldLimits,
+                settings.bounds().coldOver(),
+                settings.bounds().coldSlack(),
+                log);
+        this.chooser = UpstreamChooser.of(settings.zone(), PlacementRules.of(coldUpstreams));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
@@ -226,6 +235,7 @@
                 Series.of("masticcroft_config_age_ms"),
                 () -> storeFreshness.age().toMillis());
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        coldUpstreams.expose(metrics, time);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.masticcroft.gateway.account.AccountRecorder;
+import org.masticcroft.gateway.config.ColdLimits;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.UpstreamService;
@@ -82,6 +83,13 @@
         return config.flatMap(published -> published.service(service)).flatMap(UpstreamService::profile);
     }
 
+    /** Returns what a cold upstream of a service tolerates. */
+    ColdLimits coldLimits(String service) {
+        return config.flatMap(published -> published.service(service))
+                .map(UpstreamService::cold)
+                .orElse(ColdLimits.none());
+    }
+
     /** Returns whether the configuration and the list of upstreams are known. */
     boolean complete() {
         return config.isPresent() && upstreamsDirectoryRead;
@@ -155,7 +163,11 @@
             recordNamedVersion(named.model(), named.version());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
             deferredRemovals.cancel(listed.listing().id());
-            upstreams.put(listed.listing(), now);
+            // At the first read, the upstreams have been running for an unknown time, and their own statements count.
+            Duration coldTime = upstreamsDirectoryRead
+                    ? coldLimits(listed.listing().service()).time()
+                    : Duration.ZERO;
+            upstreams.put(listed.listing(), coldTime, now);
         } else if (change instanceof FleetChange.UpstreamRemoved removed) {
             if (deferredRemovals.active()) {
                 deferredRemovals.add(removed.id());
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -4,10 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -52,9 +49,6 @@
      */
     private static final long LOADING_REPORT_INTERVAL_MILLIS = 50;
 
-    /** Time after its last subscription for which an entry is sent load reports. */
-    private static final Duration SUBSCRIPTION_LIFETIME = Duration.ofMillis(3500);
-
     /** Interval between announcements of held pieces while weights are being distributed. */
     private static final long ANNOUNCEMENT_INTERVAL_MILLIS = 120;
 
@@ -92,7 +86,7 @@
     private final WeightsUpdater updater;
     private final String service;
     private final VersionStatements versionStatements;
-    private final Map<Address, Long> subscribers = new HashMap<>();
+    private final Subscribers subscribers;
     private final PacedUploads uploads;
     private final ReportedSuspects suspects;
     private final SidecarEvidence evidence;
@@ -122,7 +116,8 @@
         this.service = service;
         this.datagrams = DatagramPort.of(loop, log);
         this.suspects = new ReportedSuspects(settings.ip().hashCode());
-        this.evidence = new SidecarEvidence(time, subscribers::keySet, datagrams::send);
+        this.subscribers = new Subscribers(time);
+        this.evidence = new SidecarEvidence(time, subscribers::entries, datagrams::send);
         this.versionStatements = new VersionStatements(time, dependencies.inputs());
         this.uploads = PacedUploads.of(loop, settings.linkMbitPerSecond());
         this.metrics = ProcessMetrics.empty();
@@ -264,8 +259,7 @@
 
     /** Sends the load to the subscribed entries if it has changed, or from time to time. */
     private void sendLoad(EngineReport report) {
-        long now = time.nanoTime();
-        subscribers.values().removeIf(nanos -> now - nanos > SUBSCRIPTION_LIFETIME.toNanos());
+        subscribers.removeExpired();
         boolean inDoubt = updater.loadInDoubt();
         int loadHash =
                 Objects.hash(report.running(), report.queued(), report.busy(), report.loadedVersion(), inDoubt, (int)
@@ -275,7 +269,7 @@
         }
         sentLoadHash = loadHash;
         unchangedReports = 0;
-        suspects.retainAll(subscribers.keySet());
+        suspects.retainAll(subscribers.entries());
         EngineLoad.Builder load = EngineLoad.newBuilder()
                 .setStartMillis(report.startMillis())
                 .setPort(settings.engine().orElseThrow().port())
@@ -285,14 +279,14 @@
                 .setInDoubt(inDoubt)
                 .setServedVersion(inDoubt ? 0 : report.loadedVersion().orElse(0))
                 .setPace((float) report.pace())
-                .setEntries(subscribers.size())
+                .setEntries(subscribers.statedNumber())
                 .setMemoryUsed((float) report.memoryUsed());
         updater.newestNamedVersion()
                 .ifPresent(named -> load.addNamed(
                         NamedWeights.newBuilder().setModel(named.model()).setVersion(named.version())));
         load.addAllSuspicions(suspects.next());
         Datagram datagram = Datagram.newBuilder().setLoad(load).build();
-        subscribers.keySet().forEach(entry -> datagrams.send(entry, datagram));
+        subscribers.entries().forEach(entry -> datagrams.send(entry, datagram));
     }
 
     /**
@@ -328,7 +322,7 @@
 
     private void handleDatagram(Address sender, Datagram datagram) {
         if (datagram.hasSubscription()) {
-            subscribers.put(sender, time.nanoTime());
+            subscribers.add(sender);
             suspects.record(sender, datagram.getSubscription().getSuspectsList());
             for (NamedWeights named : datagram.getSubscription().getNamedList()) {
                 updater.addNamedVersion(named.getModel(), named.getVersion());
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -7,11 +7,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticcroft.gateway.account.AccountRecorder;
+import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.config.ColdLimits;
+import org.masticcroft.gateway.config.GatewayConfig;
+import org.masticcroft.gateway.config.UpstreamService;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.Directory;
@@ -52,6 +57,66 @@
         return new FleetChange.Unreadable(id, "not an entry");
     }
 
+    private static FleetChange listed(String id, long startMillis, Duration coldRemaining) {
+        return new FleetChange.UpstreamListed(new UpstreamListing(
+                id, "s", new Address("10.0.0.1", 80), "z", 4, false, startMillis, OptionalLong.empty(), coldRemaining));
+    }
+
+    private static FleetChange coldFor(Duration coldTime) {
+        UpstreamService service =
+                new UpstreamService("s", Optional.empty(), Optional.empty(), "", 0, new ColdLimits(coldTime, 26));
+        return new FleetChange.ConfigPublished(
+                GatewayConfig.of(1, List.of(), List.of(service), Optional.empty(), CallerLimits.defaults()));
+    }
+
+    /** Upstreams of a service in which they are cold for three seconds after their start. */
+    @Nested
+    class AColdUpstream {
+        private List<String> cold() {
+            return table.listed().stream()
+                    .filter(upstream -> upstream.cold(time.nanoTime()))
+                    .map(Upstream::id)
+                    .sorted()
+                    .toList();
+        }
+
+        /** Guards against a fleet that looks cold to each entry that starts. */
+        @Test
+        void isOneThatStatesItAtTheFirstRead() {
+            fleet.snapshot(Directory.OPERATOR, List.of(coldFor(Duration.ofSeconds(3))));
+            fleet.snapshot(
+                    Directory.UPSTREAMS,
+                    List.of(listed("a", 1, Duration.ZERO), listed("b", 1, Duration.ofMillis(800))));
+            assertThat(cold()).containsExactly("b");
+            time.advance(Duration.ofMillis(800));
+            assertThat(cold()).isEmpty();
+        }
+
+        /** Guards against a burst to an upstream that has just started, whatever its lagging entry states. */
+        @Test
+        void isOneThatAppearsOrRestartsLater() {
+            fleet.snapshot(Directory.OPERATOR, List.of(coldFor(Duration.ofSeconds(3))));
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 1, Duration.ZERO), listed("b", 1, Duration.ZERO)));
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("b", 2, Duration.ZERO), listed("c", 1, Duration.ZERO)));
+            time.advance(Duration.ofMillis(2999));
+            assertThat(cold()).containsExactly("b", "c");
+            time.advance(Duration.ofMillis(1));
+            assertThat(cold()).isEmpty();
+        }
+
+        /** Guards against a later entry that ends the time, and against one that turns cold again unnoticed. */
+        @Test
+        void staysColdForTheLongestTimeStated() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 1, Duration.ofMillis(500))));
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a", 1, Duration.ZERO)));
+            assertThat(cold()).containsExactly("a");
+            time.advance(Duration.ofMillis(600));
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a", 1, Duration.ofMillis(3000))));
+            time.advance(Duration.ofMillis(2500));
+            assertThat(cold()).containsExactly("a");
+        }
+    }
+
     private List<String> ids() {
         return table.listed().stream().map(Upstream::id).sorted().toList();
     }
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -37,6 +37,9 @@
     STREAM_RESUMED(1226, "A stream continues on another upstream; the token position is given."),
     REPLY_REJECTED(1227, "A reply of a sidecar does not belong to the open attempt, is out of order or incomplete."),
     UPSTREAM_PAUSED(1228, "An upstream wants no requests from this process for a time, which is given."),
+    UPSTREAM_COLD(
+            1229, "An upstream is cold and gets few requests; the cause and the stated number of entries are given."),
+    UPSTREAM_WARM(1230, "An upstream is no longer cold."),
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
