--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -21,6 +21,7 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.AllowedRegionsRule;
+import org.masticcroft.gateway.dispatch.ColdUpstreams;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
 import org.masticcroft.gateway.dispatch.PlacementRules;
@@ -113,6 +114,7 @@
     private final FleetState fleet;
     private final ConfigValidity configValidity;
     private final RequestFilter filter;
+    private final ColdUpstreams coldUpstreams;
     private final UpstreamChooser chooser;
     private final HttpServer callerServer;
     private final GracefulStop stop;
@@ -173,11 +175,18 @@
                 datagrams::sidecars,
                 datagrams::send,
                 (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
+        this.coldUpstreams = ColdUpstreams.of(
+                upstreams,
+                fleet::coldLimits,
+                settings.bounds().coldOver(),
+                settings.bounds().coldSlack(),
+                log);
         this.chooser = UpstreamChooser.of(
                 settings.zone(),
                 PlacementRules.of(
                         EvacuatedDataCentres.of(fleet.evacuations()),
                         AllowedRegionsRule.of(settings::regionOf),
+                        coldUpstreams,
                         SlotShare.of(settings.ip(), fleet::profile)));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
@@ -239,6 +248,7 @@
                 Series.of("masticcroft_config_age_ms"),
                 () -> storeFreshness.age().toMillis());
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
+        coldUpstreams.expose(metrics, time);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
