Read a directory in full after the store came back from an older copy

Cause: after a restore the store assigns offsets again, so a follower that reads on from its offset misses records or gets those of another history, and does not learn that known records may be lost. Change: PlatformStore reads Store-Era of all responses, whatever their status, and keeps it in StoreEra, which tells the parts of the process before the response is handled. A follower then ignores its read in progress, reads the directory in full, logs STORE_RESTORED (1108) and calls storeRestored before the records. A lower era counts only if the current one was known when the call was sent, so responses that arrive out of order change nothing; without the header nothing changes. Gauge masticcroft_store_era. The stand-in can be restored from a copy.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -32,6 +32,9 @@
     private long nextOffset = -1;
     private int failedReads;
     private OptionalLong missedSinceNanos = OptionalLong.empty();
+    private OptionalLong lastConfirmedNanos = OptionalLong.empty();
+    private boolean restored;
+    private boolean started;
     private int generation;
 
     private DirectoryFollower(
@@ -70,7 +73,7 @@
             Timing timing,
             Listener listener,
             DecisionLog log) {
-        return new DirectoryFollower(
+        DirectoryFollower follower = new DirectoryFollower(
                 Objects.requireNonNull(directory, "directory"),
                 Objects.requireNonNull(store, "store"),
                 loop,
@@ -78,10 +81,13 @@
                 Objects.requireNonNull(timing, "timing"),
                 Objects.requireNonNull(listener, "listener"),
                 log);
+        store.era().addListener(follower::readAgainAfterRestore);
+        return follower;
     }
 
     /** Starts to read the directory. */
     public void start() {
+        started = true;
         read();
     }
 
@@ -91,6 +97,27 @@
         read();
     }
 
+    /**
+     * Reads the whole directory after the store has come back from an older copy, in which offsets are assigned again.
+     * The reply of the read in progress is ignored, also if it is of the new era, since its offset is of the old one.
+     */
+    private void readAgainAfterRestore(long previousEra, long era) {
+        log.write(Event.STORE_RESTORED, "directory", directory, "era", era, "previous", previousEra);
+        restored = true;
+        nextOffset = -1;
+        if (lastConfirmedNanos.isPresent()) {
+            missedSinceNanos = lastConfirmedNanos;
+        }
+        if (started) {
+            restart();
+        }
+    }
+
+    /** Returns the era of the store; 0 if no response has stated it. */
+    public long storeEra() {
+        return store.era().current().orElse(0);
+    }
+
     private void read() {
         int readGeneration = generation;
         long startNanos = time.nanoTime();
@@ -160,6 +187,10 @@
         if (recovered) {
             listener.storeRecovered(directory);
         }
+        if (restored) {
+            listener.storeRestored(directory);
+            restored = false;
+        }
         missedSinceNanos.ifPresent(nanos -> listener.recordsMissedSince(directory, nanos));
         missedSinceNanos = OptionalLong.empty();
         if (fullRead) {
@@ -168,6 +199,7 @@
             listener.changed(directory, reply.changes());
         }
         listener.confirmed(directory, confirmedNanos);
+        lastConfirmedNanos = OptionalLong.of(confirmedNanos);
     }
 
     /** Reads the whole directory after a delay, so that no failure ends the reads. */
@@ -224,6 +256,12 @@
         /** Called when the store answers again after a failure, before the records of its first answer are passed. */
         default void storeRecovered(Directory directory) {}
 
+        /**
+         * Called after the store has come back from an older copy, before all records of that copy are passed. They may
+         * be older than those passed earlier, and records that were passed earlier may be missing.
+         */
+        default void storeRestored(Directory directory) {}
+
         /**
          * Called before records are passed that a previous read may have missed, because it failed or the history was
          * deleted.
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
@@ -5,6 +5,9 @@
 
 /** Client of the platform's store. Each call receives exactly one reply, on the event loop. */
 public interface FleetStore {
+    /** Returns the era of the store, as the responses to all calls of this process state it. */
+    StoreEra era();
+
     /** Reads the newest record of each key of a directory. */
     void readAll(Directory directory, Consumer<DirectoryReply> reply);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
@@ -19,6 +21,7 @@
     private Future<?> timer;
     private Call call;
     private int status;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private final ByteBuf body = Unpooled.buffer();
     private boolean completed;
 
@@ -51,6 +54,7 @@
     @Override
     public void onHead(HttpResponse head) {
         status = head.status().code();
+        headers = head.headers();
     }
 
     @Override
@@ -65,18 +69,18 @@
 
     @Override
     public void onEnd() {
-        end(new Result(status, body, ""));
+        end(new Result(status, headers, body, ""));
     }
 
     @Override
     public void onFailure(CallFailure failure) {
-        end(new Result(0, Unpooled.EMPTY_BUFFER, failure.name()));
+        end(Result.failed(failure));
     }
 
     private void timedOut() {
         if (!completed) {
             call.cancel();
-            end(new Result(0, Unpooled.EMPTY_BUFFER, CallFailure.TIMED_OUT.name()));
+            end(Result.failed(CallFailure.TIMED_OUT));
         }
     }
 
@@ -100,10 +104,15 @@
      * Result of a call.
      *
      * @param status HTTP status; 0 if there was no complete response
+     * @param headers headers of the response; empty if there was no complete response
      * @param body body of the response
      * @param failure why there was no complete response; empty otherwise
      */
-    public record Result(int status, ByteBuf body, String failure) {
+    public record Result(int status, HttpHeaders headers, ByteBuf body, String failure) {
+        private static Result failed(CallFailure failure) {
+            return new Result(0, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER, failure.name());
+        }
+
         /** Returns whether the response is complete and has status 200. */
         public boolean ok() {
             return status == 200;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -225,6 +225,7 @@
         metrics.gauge(
                 Series.of("masticcroft_config_age_ms"),
                 () -> storeFreshness.age().toMillis());
+        metrics.gauge(Series.of("masticcroft_store_era"), operatorFollower::storeEra);
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -7,7 +7,9 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -215,10 +217,156 @@
         }
     }
 
+    /** Pattern: the store comes back from an older copy, while replies of both eras are on their way. */
+    @Nested
+    class ARestore {
+        private final HeldStore held = new HeldStore();
+        private final List<String> received = new ArrayList<>();
+        private final DirectoryFollower follower = DirectoryFollower.of(
+                Directory.UPSTREAMS,
+                held,
+                loop,
+                time,
+                new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
+                new IgnoringListener() {
+                    @Override
+                    public void snapshot(Directory directory, List<FleetChange> changes) {
+                        received.add("all " + changes.size());
+                    }
+
+                    @Override
+                    public void changed(Directory directory, List<FleetChange> changes) {
+                        received.add("new " + changes.size());
+                    }
+
+                    @Override
+                    public void storeRestored(Directory directory) {
+                        received.add("restored");
+                    }
+
+                    @Override
+                    public void recordsMissedSince(Directory directory, long nanos) {
+                        received.add("missed");
+                    }
+                },
+                log);
+
+        /** Replies to the read that was sent last, in the era that the store states. */
+        private void reply(long stated, FleetChange... changes) {
+            held.reply(held.calls.size() - 1, OptionalLong.of(stated), changes);
+        }
+
+        private void startInEra(long stated) {
+            follower.start();
+            reply(stated, new FleetChange.UpstreamRemoved("a"));
+            received.clear();
+        }
+
+        /** Guards against records of the new era that are missed because the offsets before it were read on. */
+        @Test
+        void isFollowedByAReadOfTheWholeDirectory() {
+            startInEra(1);
+            reply(2, new FleetChange.UpstreamRemoved("b"));
+            assertThat(received).isEmpty();
+            reply(2);
+
+            assertThat(received).containsExactly("restored", "missed", "all 0");
+            assertThat(held.calls).containsExactly("all", "from 7", "all", "from 7");
+        }
+
+        /** Guards against a read of an old offset that goes on, if another call of the process stated the era. */
+        @Test
+        void isNoticedFromOtherCallsAndEndsTheReadThatWaits() {
+            startInEra(1);
+            held.era.record(held.era.current(), OptionalLong.of(2));
+            held.reply(1, OptionalLong.of(1), new FleetChange.UpstreamRemoved("old"));
+            reply(2);
+
+            assertThat(received).containsExactly("restored", "missed", "all 0");
+            assertThat(held.era.current()).hasValue(2);
+        }
+
+        /** Guards against a restore that counts twice because a response that was sent before it came late. */
+        @Test
+        void isNotUndoneByALateResponse() {
+            startInEra(1);
+            reply(2);
+            reply(2);
+            assertThat(held.era.record(OptionalLong.of(1), OptionalLong.of(1))).isFalse();
+
+            assertThat(held.era.restores()).isEqualTo(1);
+            assertThat(held.calls).hasSize(4);
+        }
+
+        /** Guards against a store whose count was lost, too, and whose older records are then never read. */
+        @Test
+        void countsAlsoIfTheEraIsLower() {
+            startInEra(5);
+            reply(1);
+            reply(1);
+
+            assertThat(received).containsExactly("restored", "missed", "all 0");
+        }
+
+        /** Guards against full reads at a store that states no era, or first states one later. */
+        @Test
+        void isNotSeenWhereNoEraIsStated() {
+            follower.start();
+            held.reply(0, OptionalLong.empty());
+            FleetChange change = new FleetChange.UpstreamRemoved("a");
+            held.reply(1, OptionalLong.empty(), change);
+            held.reply(2, OptionalLong.of(3), change);
+            held.reply(3, OptionalLong.empty(), change);
+
+            assertThat(held.calls).containsExactly("all", "from 7", "from 7", "from 7", "from 7");
+            assertThat(held.era.restores()).isZero();
+        }
+    }
+
+    /** Store whose replies the test sends, in any order. */
+    private static final class HeldStore extends ChangingStore {
+        private final StoreEra era = StoreEra.unknown();
+        private final List<String> calls = new ArrayList<>();
+        private final List<OptionalLong> erasWhenSent = new ArrayList<>();
+        private final List<Consumer<DirectoryReply>> replies = new ArrayList<>();
+
+        private void reply(int call, OptionalLong stated, FleetChange... changes) {
+            era.record(erasWhenSent.get(call), stated);
+            replies.get(call).accept(DirectoryReply.read(List.of(changes), 7));
+        }
+
+        private void add(String call, Consumer<DirectoryReply> reply) {
+            calls.add(call);
+            erasWhenSent.add(era.current());
+            replies.add(reply);
+        }
+
+        @Override
+        public StoreEra era() {
+            return era;
+        }
+
+        @Override
+        public void readAll(Directory directory, Consumer<DirectoryReply> reply) {
+            add("all", reply);
+        }
+
+        @Override
+        public void readFrom(Directory directory, long from, Duration wait, Consumer<DirectoryReply> reply) {
+            add("from " + from, reply);
+        }
+    }
+
     /** Store that has a change for each read. */
     private static class ChangingStore implements FleetStore {
+        private final StoreEra era = StoreEra.unknown();
         private final AtomicInteger reads = new AtomicInteger();
 
+        @Override
+        public StoreEra era() {
+            return era;
+        }
+
         @Override
         public void readAll(Directory directory, Consumer<DirectoryReply> reply) {
             reads.incrementAndGet();
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -16,6 +16,8 @@
     CONFIG_RECORD_IGNORED(1103, "A record of the configuration stream has no effect; the reason is given."),
     CONFIG_SNAPSHOT_APPENDED(1104, "A snapshot of the configuration was re-published before retention."),
     WEIGHTS_NAMED(1105, "The operator named a new version of the weights of a model."),
+    STORE_RESTORED(1108, "The store came back from an older copy; the directory that is read in full is given."),
+    LISTING_OUTDATED(1109, "A listing of an upstream has no effect because a newer one is known."),
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
--- a/standins/src/main/java/org/masticcroft/standins/platform/KeyedLog.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/KeyedLog.java
@@ -11,13 +11,21 @@
 import java.util.TreeMap;
 
 /** One keyed topic: an append-only log that keeps the newest record of each key even after its history is deleted. */
-final class KeyedLog {
+public final class KeyedLog {
     private static final byte[] NO_CONTENT = new byte[0];
 
     private final List<Entry> entries = new ArrayList<>();
     private final Map<String, Long> newestOffsets = new TreeMap<>();
     private long firstOffset;
 
+    synchronized KeyedLog copy() {
+        KeyedLog copy = new KeyedLog();
+        copy.entries.addAll(entries);
+        copy.newestOffsets.putAll(newestOffsets);
+        copy.firstOffset = firstOffset;
+        return copy;
+    }
+
     /** Appends a record and returns its offset; an empty value deletes the key. */
     synchronized long append(String key, byte[] value) {
         long offset = endOffset();
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.masticcroft.standins.fault.Faults;
@@ -18,6 +19,7 @@
     private static final int DEFAULT_PAGE_RECORDS = 500;
 
     private final Map<String, KeyedLog> topics = new ConcurrentHashMap<>();
+    private volatile long era;
     private final StandInServer server;
     private volatile Outage outage = Outage.NONE;
     private volatile int maxPageRecords = DEFAULT_PAGE_RECORDS;
@@ -75,12 +77,34 @@
         maxPageRecords = records;
     }
 
+    /** Sets the era that all responses state; 0 for none. */
+    public void setEra(long newEra) {
+        era = newEra;
+    }
+
+    /** Returns a copy of all topics. */
+    public Map<String, KeyedLog> copy() {
+        Map<String, KeyedLog> copy = new HashMap<>();
+        topics.forEach((name, log) -> copy.put(name, log.copy()));
+        return copy;
+    }
+
+    /** Comes back from a copy in the next era. Reads that wait are answered in the era in which they were sent. */
+    public void restore(Map<String, KeyedLog> copy) {
+        topics.clear();
+        topics.putAll(copy);
+        era++;
+    }
+
     @Override
     public void close() {
         server.close();
     }
 
     private void handle(Call call, Action action) throws IOException, InterruptedException {
+        if (era > 0) {
+            call.setHeader("Store-Era", Long.toString(era));
+        }
         switch (outage) {
             case REFUSING -> call.respond(503, new byte[0]);
             case RESETTING -> call.drop();
@@ -120,7 +144,7 @@
     private void read(Call call, boolean responseLost) throws IOException, InterruptedException {
         KeyedLog log = topic(call.queryText("topic", ""));
         long from = call.queryNumber("from", 0);
-        if (from < log.firstOffset()) {
+        if (from < log.firstOffset() || from > log.endOffset()) {
             call.respond(410, Json.object().put("first", log.firstOffset()));
             return;
         }
