Keep what is newer than the copy from which the store came back

Cause: a copy may list upstreams as ready that are leaving or gone, and lack upstreams that registered since. Upstreams that a full read lacks were dropped at once, or as planned work if they were few. A listing of the same start with a lower sequence has no effect (LISTING_OUTDATED, 1109); after a restore, nor has one with an earlier start, or the same listing of a removed upstream. Upstreams that the copy lacks are kept for 3 s: about 2 s until they register again, and up to a second until that is read. Removals after the restore take effect as before. Configuration and named versions never became older; a test shows it.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
@@ -14,6 +14,7 @@
  * @param slots maximum number of requests that it processes at a time
  * @param leaving whether it is leaving and takes no new requests
  * @param startMillis start of the process, in milliseconds of Unix time; 0 if unknown
+ * @param sequence number of the listing, which increases with each one that a process of the upstream writes
  * @param loadedVersion version of the loaded weights; empty if none is loaded or for a plain service
  */
 public record UpstreamListing(
@@ -24,6 +25,7 @@
         int slots,
         boolean leaving,
         long startMillis,
+        long sequence,
         OptionalLong loadedVersion) {
     /** Rejects missing values. */
     public UpstreamListing {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
@@ -9,27 +9,39 @@
 import java.util.stream.Collectors;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
+import org.masticcroft.gateway.fleet.ListingHistory;
 
 /**
  * Removals of upstreams after an outage of the store. Listings that expired during the outage return within seconds, so
  * removals of a large part of a service are deferred for that time. A removal of few upstreams is planned work and
- * takes effect at once, because the upstreams exit soon.
+ * takes effect at once, because the upstreams exit soon. If the store came back from an older copy, upstreams that the
+ * copy does not list have not been removed; they write their listings again, and none of them is dropped before that.
  */
 final class DeferredRemovals {
     /** Time after the end of an outage within which expired listings return. */
     private static final Duration RETURN_TIME = Duration.ofMillis(2000);
 
+    /**
+     * Time after the first read of an older copy within which missing listings return: the upstreams write them again
+     * after about 2 s, and this process reads them up to a second later.
+     */
+    private static final Duration REGISTRATION_TIME = Duration.ofMillis(3000);
+
     /** Fraction of the upstreams of a service that planned work removes at a time at most, as a divisor. */
     private static final int PLANNED_DIVISOR = 3;
 
     private final UpstreamTable upstreams;
+    private final ListingHistory history;
     private final Set<String> pending = new LinkedHashSet<>();
+    private final Set<String> missing = new LinkedHashSet<>();
     private final Map<String, Integer> appliedByService = new HashMap<>();
     private boolean active;
     private long endNanos;
+    private boolean copyUnconfirmed;
 
-    DeferredRemovals(UpstreamTable upstreams) {
+    DeferredRemovals(UpstreamTable upstreams, ListingHistory history) {
         this.upstreams = upstreams;
+        this.history = history;
     }
 
     /** Begins to defer removals because the store answers again. */
@@ -39,6 +51,13 @@
         appliedByService.clear();
     }
 
+    /** Begins to defer removals because the store has come back from an older copy. */
+    void beginAfterRestore(long nowNanos) {
+        begin(nowNanos);
+        endNanos = nowNanos + REGISTRATION_TIME.toNanos();
+        copyUnconfirmed = true;
+    }
+
     /** Returns whether removals have to be added here. */
     boolean active() {
         return active;
@@ -48,9 +67,15 @@
         pending.add(id);
     }
 
+    /** Adds an upstream that a full read of the list did not contain. */
+    void addMissing(String id) {
+        (copyUnconfirmed ? missing : pending).add(id);
+    }
+
     /** Forgets the removal of an upstream that is listed again. */
     void cancel(String id) {
         pending.remove(id);
+        missing.remove(id);
     }
 
     /** Applies the removals that are planned work, and all of them once the expired listings must have returned. */
@@ -59,6 +84,9 @@
             return;
         }
         boolean ended = nowNanos - endNanos >= 0;
+        if (ended) {
+            pending.addAll(missing);
+        }
         if (!pending.isEmpty()) {
             Map<String, List<Upstream>> listedByService = upstreams.listed().stream()
                     .collect(
@@ -67,7 +95,9 @@
         }
         if (ended) {
             active = false;
+            copyUnconfirmed = false;
             pending.clear();
+            missing.clear();
         }
     }
 
@@ -77,6 +107,7 @@
         int applied = appliedByService.getOrDefault(service, 0);
         if (ended || (applied + removed.size()) * PLANNED_DIVISOR <= applied + listed.size()) {
             removed.forEach(id -> upstreams.remove(id, nowNanos));
+            removed.forEach(history::remove);
             removed.forEach(pending::remove);
             appliedByService.put(service, applied + removed.size());
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -16,8 +16,10 @@
 import org.masticcroft.gateway.fleet.DirectoryFollower;
 import org.masticcroft.gateway.fleet.ExecutionPauses;
 import org.masticcroft.gateway.fleet.FleetChange;
+import org.masticcroft.gateway.fleet.ListingHistory;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
+import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.event.Event;
@@ -34,6 +36,7 @@
     private final AccountRecorder account;
     private final InputClock inputs;
     private final ExecutionPauses pauses;
+    private final ListingHistory listings;
     private final DeferredRemovals deferredRemovals;
     private Optional<GatewayConfig> config = Optional.empty();
     private boolean upstreamsDirectoryRead;
@@ -53,7 +56,8 @@
         this.inputs = inputs;
         this.pauses = ExecutionPauses.watch(time);
         this.upstreams = upstreams;
-        this.deferredRemovals = new DeferredRemovals(upstreams);
+        this.listings = ListingHistory.empty(time);
+        this.deferredRemovals = new DeferredRemovals(upstreams, listings);
         this.namedVersions = namedVersions;
         this.storeFreshness = storeFreshness;
         this.log = log;
@@ -104,9 +108,13 @@
                 upstreams.listed().stream()
                         .map(upstream -> upstream.id())
                         .filter(id -> !ids.contains(id))
-                        .forEach(deferredRemovals::add);
+                        .forEach(deferredRemovals::addMissing);
                 applyDeferredRemovals(time.nanoTime());
             } else {
+                upstreams.listed().stream()
+                        .map(upstream -> upstream.id())
+                        .filter(id -> !ids.contains(id))
+                        .forEach(listings::remove);
                 upstreams.retainAll(ids, time.nanoTime());
             }
         }
@@ -135,6 +143,14 @@
         }
     }
 
+    @Override
+    public void storeRestored(Directory directory) {
+        if (directory == Directory.UPSTREAMS) {
+            listings.storeRestored();
+            deferredRemovals.beginAfterRestore(time.nanoTime());
+        }
+    }
+
     @Override
     public void recordsMissedSince(Directory directory, long nanos) {
         if (directory == Directory.OPERATOR) {
@@ -154,24 +170,44 @@
         } else if (change instanceof FleetChange.WeightsNamed named) {
             recordNamedVersion(named.model(), named.version());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
-            deferredRemovals.cancel(listed.listing().id());
-            upstreams.put(listed.listing(), now);
+            applyListing(listed.listing(), now);
         } else if (change instanceof FleetChange.UpstreamRemoved removed) {
             if (deferredRemovals.active()) {
                 deferredRemovals.add(removed.id());
             } else {
-                upstreams.remove(removed.id(), now);
+                removeUpstream(removed.id(), now);
             }
         } else if (change instanceof FleetChange.Unreadable unreadable) {
             log.write(Event.CONFIG_RECORD_IGNORED, "key", unreadable.key(), "reason", unreadable.reason());
             if (directory == Directory.UPSTREAMS) {
                 // The newest record of this id names no upstream. It is replaced when the upstream writes again.
                 deferredRemovals.cancel(unreadable.key());
-                upstreams.remove(unreadable.key(), now);
+                removeUpstream(unreadable.key(), now);
             }
         }
     }
 
+    private void applyListing(UpstreamListing listing, long now) {
+        if (!listings.add(listing)) {
+            log.write(
+                    Event.LISTING_OUTDATED,
+                    "upstream",
+                    listing.id(),
+                    "sequence",
+                    listing.sequence(),
+                    "leaving",
+                    listing.leaving());
+            return;
+        }
+        deferredRemovals.cancel(listing.id());
+        upstreams.put(listing, now);
+    }
+
+    private void removeUpstream(String id, long now) {
+        listings.remove(id);
+        upstreams.remove(id, now);
+    }
+
     /** Applies a named version that a sidecar reported. */
     void applyNamedVersion(String model, long version) {
         recordNamedVersion(model, version);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -49,6 +49,7 @@
                         slots,
                         leaving,
                         1,
+                        1,
                         version > 0 ? OptionalLong.of(version) : OptionalLong.empty()),
                 time.nanoTime());
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UnconfirmedWeightsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UnconfirmedWeightsTest.java
@@ -15,7 +15,7 @@
 class UnconfirmedWeightsTest {
     private static UpstreamListing listing(long version) {
         return new UpstreamListing(
-                "e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, OptionalLong.of(version));
+                "e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, 1, OptionalLong.of(version));
     }
 
     private static LoadReport loading() {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTableTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTableTest.java
@@ -29,7 +29,8 @@
     }
 
     private void list(String id, long startMillis) {
-        table.put(new UpstreamListing(id, "s", ADDRESS, "z", 4, false, startMillis, OptionalLong.of(startMillis)), 0);
+        table.put(
+                new UpstreamListing(id, "s", ADDRESS, "z", 4, false, startMillis, 1, OptionalLong.of(startMillis)), 0);
     }
 
     private OptionalLong servedVersion(String id) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -12,7 +12,7 @@
 
 class UpstreamTest {
     private final Upstream upstream = Upstream.of(
-            new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, OptionalLong.of(1)), 0);
+            new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", 16, false, 1, 1, OptionalLong.of(1)), 0);
 
     // Guards against requests during a pause that the upstream asked for, which later refusals or pauses cut short.
     @Test
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -7,11 +7,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticcroft.gateway.account.AccountRecorder;
+import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamTable;
 import org.masticcroft.gateway.fleet.Directory;
@@ -28,11 +31,12 @@
     private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
     private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
     private final UpstreamTable table = UpstreamTable.of(log);
+    private final NamedVersions named = NamedVersions.empty(time);
     private final FleetState fleet = FleetState.empty(
             time,
             InputClock.immediate(time),
             table,
-            NamedVersions.empty(time),
+            named,
             StoreFreshness.unconfirmed(time),
             log,
             model -> {},
@@ -45,7 +49,12 @@
 
     private static FleetChange listed(String id) {
         return new FleetChange.UpstreamListed(
-                new UpstreamListing(id, "s", new Address("10.0.0.1", 80), "z", 4, false, 1, OptionalLong.empty()));
+                new UpstreamListing(id, "s", new Address("10.0.0.1", 80), "z", 4, false, 1, 1, OptionalLong.empty()));
+    }
+
+    private static FleetChange listed(String id, long startMillis, long sequence, boolean leaving) {
+        return new FleetChange.UpstreamListed(new UpstreamListing(
+                id, "s", new Address("10.0.0.1", 80), "z", 4, leaving, startMillis, sequence, OptionalLong.empty()));
     }
 
     private static FleetChange unreadable(String id) {
@@ -97,6 +106,111 @@
         }
     }
 
+    /** Pattern: the store comes back from a copy that is some seconds old. */
+    @Nested
+    class ARestore {
+        private void restore(FleetChange... copy) {
+            fleet.storeRestored(Directory.UPSTREAMS);
+            fleet.snapshot(Directory.UPSTREAMS, List.of(copy));
+        }
+
+        private List<String> usable() {
+            return table.listed().stream()
+                    .filter(upstream -> upstream.usable(time.nanoTime()))
+                    .map(Upstream::id)
+                    .sorted()
+                    .toList();
+        }
+
+        /** Guards against requests to an upstream that is leaving, or has left, and that the copy lists as ready. */
+        @Test
+        void doesNotBringBackUpstreamsThatAreLeavingOrGone() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 5, 2, false), listed("b", 5, 2, false)));
+            fleet.changed(
+                    Directory.UPSTREAMS,
+                    List.of(listed("a", 5, 3, true), new FleetChange.UpstreamRemoved("b"), listed("c", 5, 1, false)));
+            restore(listed("a", 5, 2, false), listed("b", 5, 2, false), listed("c", 5, 1, false));
+            assertThat(usable()).containsExactly("c");
+
+            time.advance(Duration.ofSeconds(5));
+            fleet.applyDeferredRemovals(time.nanoTime());
+            assertThat(usable()).containsExactly("c");
+            assertThat(ids()).containsExactly("a", "c");
+        }
+
+        /** Guards against an upstream that stays unused although it has registered again, or was started again. */
+        @Test
+        void isOverForAnUpstreamWithANewerListing() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 5, 2, false), listed("b", 5, 2, false)));
+            fleet.changed(
+                    Directory.UPSTREAMS,
+                    List.of(new FleetChange.UpstreamRemoved("a"), new FleetChange.UpstreamRemoved("b")));
+            restore(listed("a", 5, 2, false), listed("b", 4, 9, false));
+            assertThat(usable()).isEmpty();
+
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a", 5, 3, false), listed("b", 6, 1, false)));
+            assertThat(usable()).containsExactly("a", "b");
+        }
+
+        /** Guards against upstreams that get no requests until they have registered again, even if they are few. */
+        @Test
+        void keepsUpstreamsThatTheCopyDoesNotListUntilTheyRegisterAgain() {
+            List<FleetChange> all = List.of(listed("a"), listed("b"), listed("c"), listed("d"));
+            fleet.snapshot(Directory.UPSTREAMS, all);
+            restore(listed("c"), listed("d"));
+            time.advance(Duration.ofMillis(2500));
+            fleet.applyDeferredRemovals(time.nanoTime());
+            assertThat(ids()).containsExactly("a", "b", "c", "d");
+
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
+            time.advance(Duration.ofMillis(500));
+            fleet.applyDeferredRemovals(time.nanoTime());
+            assertThat(ids()).containsExactly("a", "c", "d");
+        }
+
+        /** Guards against an upstream that was taken away after the restore and is kept with the missing ones. */
+        @Test
+        void doesNotDelayARemovalThatFollowsIt() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b"), listed("c"), listed("d")));
+            restore(listed("a"), listed("b"), listed("c"));
+            fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
+
+            assertThat(ids()).containsExactly("b", "c", "d");
+        }
+
+        /** Guards against a configuration or a version of weights that the copy makes older. */
+        @Test
+        void neverLowersTheConfigurationOrTheNamedVersions() {
+            fleet.snapshot(
+                    Directory.OPERATOR,
+                    List.of(new FleetChange.ConfigPublished(config(7)), new FleetChange.WeightsNamed("m", 3)));
+            fleet.storeRestored(Directory.OPERATOR);
+            fleet.snapshot(
+                    Directory.OPERATOR,
+                    List.of(new FleetChange.ConfigPublished(config(6)), new FleetChange.WeightsNamed("m", 2)));
+
+            assertThat(fleet.config().map(GatewayConfig::version)).contains(7L);
+            assertThat(named.newest("m")).hasValue(3);
+        }
+
+        private GatewayConfig config(long version) {
+            return GatewayConfig.of(version, List.of(), List.of(), Optional.empty(), CallerLimits.defaults());
+        }
+    }
+
+    /** Pattern: a listing that is no copy of an older one, while the store keeps its era. */
+    @Nested
+    class AnEarlierStart {
+        /** Guards against an upstream that is never used because the clock of its machine was set back. */
+        @Test
+        void countsAsARestartWithinAnEra() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 5, 9, true)));
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a", 4, 1, false)));
+
+            assertThat(table.listed().get(0).usable(time.nanoTime())).isTrue();
+        }
+    }
+
     /** Pattern: entries expire during an outage of the store and return within seconds. */
     @Nested
     class ADeferredRemoval {
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/PeersTest.java
@@ -27,7 +27,7 @@
         peers.applyUpstreams(
                 List.of(ips).stream()
                         .<FleetChange>map(ip -> new FleetChange.UpstreamListed(new UpstreamListing(
-                                ip, "s", new Address(ip, 80), "z", 4, false, 1, OptionalLong.empty())))
+                                ip, "s", new Address(ip, 80), "z", 4, false, 1, 1, OptionalLong.empty())))
                         .toList(),
                 "s");
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/RegionTurnsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/RegionTurnsTest.java
@@ -58,7 +58,7 @@
     private boolean mayLoadBeforeTheFirstHalf() {
         peers.applyUpstreams(
                 List.of(new FleetChange.UpstreamListed(new UpstreamListing(
-                        "e1", "s", new Address(OTHER_IP, 80), "z", 4, false, 1, OptionalLong.of(1)))),
+                        "e1", "s", new Address(OTHER_IP, 80), "z", 4, false, 1, 1, OptionalLong.of(1)))),
                 "s");
         peers.recordAnnouncement(
                 new Address(OTHER_IP, 7700),
