Make sidecars read their directories again after a restore of the store

Cause: a sidecar reads the operator's directory every 15 s and the list of upstreams while it fetches weights. After a restore it took an older configuration from the copy, and forgot the sidecars that the copy lacks. Change: a change of the era starts a read of the operator's directory at once and of the list at the next need. An older configuration has no effect, and known sidecars are kept for 3 s.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -106,6 +107,8 @@
     private int sentLoadHash = -1;
     private long upstreamsReadNanos;
     private boolean upstreamsRead;
+    private Future<?> nextOperatorRead;
+    private boolean readOperatorDirectoryAgain;
 
     private SidecarNode(
             NodeSettings settings,
@@ -155,11 +158,15 @@
         datagrams.listen(settings.peerAddress(), this::handleDatagram);
         peerServer.listen(settings.peerAddress());
         metrics.gauge(Series.of("masticcroft_entries_subscribed"), subscribers::size);
+        metrics.gauge(
+                Series.of("masticcroft_store_era"),
+                () -> dependencies.store().era().current().orElse(0));
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
 
+        dependencies.store().era().addListener(this::readAgainAfterRestore);
         loop.execute(this::readOperatorDirectory);
         RepeatingTask.of("engine-report", this::readEngineReport, log)
                 .schedule(loop, ENGINE_REPORT_INTERVAL_MILLIS, ENGINE_REPORT_INTERVAL_MILLIS);
@@ -195,11 +202,25 @@
         } catch (RuntimeException e) {
             log.write(Event.INTERNAL_ERROR, e, "component", "operator-directory");
         }
-        readOperatorDirectoryAfter(delayMillis);
+        readOperatorDirectoryAfter(readOperatorDirectoryAgain ? 0 : delayMillis);
+        readOperatorDirectoryAgain = false;
     }
 
     private void readOperatorDirectoryAfter(long delayMillis) {
-        loop.schedule(this::readOperatorDirectory, delayMillis, TimeUnit.MILLISECONDS);
+        nextOperatorRead = loop.schedule(this::readOperatorDirectory, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads the directories again at once, since the store has come back from an older copy. */
+    private void readAgainAfterRestore(long previousEra, long era) {
+        log.write(Event.STORE_RESTORED, "directory", Directory.OPERATOR, "era", era, "previous", previousEra);
+        updater.storeRestored();
+        upstreamsRead = false;
+        if (nextOperatorRead != null && nextOperatorRead.cancel(false)) {
+            readOperatorDirectoryAfter(0);
+        } else {
+            // A read is in progress, perhaps of the copy before.
+            readOperatorDirectoryAgain = true;
+        }
     }
 
     private void applyChange(FleetChange change) {
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/Peers.java
@@ -33,6 +33,9 @@
     /** Age after which an announcement is ignored; sidecars repeat them several times per second. */
     private static final Duration ANNOUNCEMENT_LIFETIME = Duration.ofMillis(2500);
 
+    /** Time after a restore of the store within which upstreams register again, which takes about 2 s. */
+    private static final Duration REGISTRATION_TIME = Duration.ofMillis(3000);
+
     /** Versions that a peer announces pieces of: the one it fetches and the one before. */
     private static final int MAX_VERSIONS = 2;
 
@@ -45,18 +48,29 @@
     /** Monotonic time in nanoseconds from which pieces may be requested again from a peer that returned none. */
     private final Map<String, Long> backoffEndNanos = new HashMap<>();
 
+    /** Monotonic time in nanoseconds until which no known upstream is removed. */
+    private long keptUntilNanos;
+
     private Peers(TimeSource time, String ownIp) {
         this.time = time;
         this.ownIp = ownIp;
+        this.keptUntilNanos = time.nanoTime();
     }
 
     static Peers of(TimeSource time, String ownIp) {
         return new Peers(time, ownIp);
     }
 
+    /** Makes the next reads of the list remove no upstream, since the store has come back from an older copy. */
+    void storeRestored() {
+        keptUntilNanos = time.nanoTime() + REGISTRATION_TIME.toNanos();
+    }
+
     /** Replaces the known upstreams of a service by those of a full read of the list of upstreams. */
     void applyUpstreams(List<FleetChange> changes, String service) {
-        listingByIp.clear();
+        if (time.nanoTime() - keptUntilNanos >= 0) {
+            listingByIp.clear();
+        }
         for (FleetChange change : changes) {
             if (change instanceof FleetChange.UpstreamListed listed
                     && listed.listing().service().equals(service)) {
--- a/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/weights/WeightsUpdater.java
@@ -142,7 +142,15 @@
 
     /** Applies a version of the configuration. */
     public void applyConfig(GatewayConfig published) {
-        config = Optional.of(published);
+        // A copy from which the store came back may hold an older configuration.
+        if (config.isEmpty() || published.version() >= config.get().version()) {
+            config = Optional.of(published);
+        }
+    }
+
+    /** Keeps the known sidecars until they have had time to register again at a store that was restored. */
+    public void storeRestored() {
+        peers.storeRestored();
     }
 
     /** Records a version that the operator named. Its model becomes the model of this updater if none is known yet. */
