Merge the restored store, and keep evacuations through a restore

A store that comes back from an older copy brings back neither evacuations that were revoked nor takes those in force away before the operator had time to write them again.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
@@ -1,5 +1,6 @@
 package org.masticcroft.gateway.fleet;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,9 +14,20 @@
  * evacuation was revoked. Used on the event loop only.
  */
 public final class Evacuations {
+    /**
+     * Time after the store has come back from an older copy within which the operator writes lost records again, with a
+     * margin for their reads.
+     */
+    private static final Duration REWRITE_TIME = Duration.ofSeconds(5);
+
     private final Set<String> evacuated = new HashSet<>();
     private final Map<String, Long> revokedNanos = new HashMap<>();
 
+    /** Evacuations in force that an older copy of the store lacks and that may be written again. */
+    private final Set<String> awaited = new HashSet<>();
+
+    private OptionalLong rewriteEndNanos = OptionalLong.empty();
+
     private Evacuations() {}
 
     /** Creates a state without evacuations. */
@@ -23,14 +35,50 @@
         return new Evacuations();
     }
 
+    /** Records that the store has come back from a copy that may lack requests and revocations. */
+    public void storeRestored(long nowNanos) {
+        rewriteEndNanos = OptionalLong.of(nowNanos + REWRITE_TIME.toNanos());
+    }
+
+    /** Returns whether a request in a full read only states what was revoked after the copy of the store was made. */
+    public boolean outdated(String dataCentre) {
+        return rewriteEndNanos.isPresent() && revokedNanos.containsKey(dataCentre);
+    }
+
+    /**
+     * Returns the evacuations that are revoked by a full read without their requests. After a restore, they stay in
+     * force until the time for writing them again is over.
+     */
+    public List<String> revokedBy(Collection<String> requested) {
+        List<String> missing = notAmong(requested);
+        if (rewriteEndNanos.isEmpty()) {
+            return missing;
+        }
+        awaited.addAll(missing);
+        return List.of();
+    }
+
+    /** Returns the evacuations that nobody has requested again within the time for it; they are revoked. */
+    public List<String> notRequestedAgain(long nowNanos) {
+        if (rewriteEndNanos.isEmpty() || nowNanos - rewriteEndNanos.getAsLong() < 0) {
+            return List.of();
+        }
+        rewriteEndNanos = OptionalLong.empty();
+        List<String> lost = List.copyOf(awaited);
+        awaited.clear();
+        return lost;
+    }
+
     /** Records that the evacuation of a data centre is requested; returns false if this was known. */
     public boolean request(String dataCentre) {
+        awaited.remove(dataCentre);
         revokedNanos.remove(dataCentre);
         return evacuated.add(dataCentre);
     }
 
     /** Records that the evacuation of a data centre is revoked; returns false if none was in force. */
     public boolean revoke(String dataCentre, long nowNanos) {
+        awaited.remove(dataCentre);
         boolean inForce = evacuated.remove(dataCentre);
         if (inForce) {
             revokedNanos.put(dataCentre, nowNanos);
@@ -38,8 +86,7 @@
         return inForce;
     }
 
-    /** Returns the data centres whose evacuation is in force although it is not among the requested ones. */
-    public List<String> notAmong(Collection<String> requested) {
+    private List<String> notAmong(Collection<String> requested) {
         return evacuated.stream()
                 .filter(dataCentre -> !requested.contains(dataCentre))
                 .sorted()
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/UpstreamListing.java
@@ -15,6 +15,7 @@
  * @param slots maximum number of requests that it processes at a time
  * @param leaving whether it is leaving and takes no new requests
  * @param startMillis start of the process, in milliseconds of Unix time; 0 if unknown
+ * @param sequence number of the listing, which increases with each one that a process of the upstream writes
  * @param loadedVersion version of the loaded weights; empty if none is loaded or for a plain service
  * @param coldRemaining time from the receipt of the entry for which the upstream is cold; zero if it is not
  */
@@ -26,6 +27,7 @@
         int slots,
         boolean leaving,
         long startMillis,
+        long sequence,
         OptionalLong loadedVersion,
         Duration coldRemaining) {
     /** Rejects missing values. */
@@ -47,7 +49,8 @@
             int slots,
             boolean leaving,
             long startMillis,
+            long sequence,
             OptionalLong loadedVersion) {
-        this(id, service, address, zone, slots, leaving, startMillis, loadedVersion, Duration.ZERO);
+        this(id, service, address, zone, slots, leaving, startMillis, sequence, loadedVersion, Duration.ZERO);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -20,8 +20,10 @@
 import org.masticcroft.gateway.fleet.Evacuations;
 import org.masticcroft.gateway.fleet.ExecutionPauses;
 import org.masticcroft.gateway.fleet.FleetChange;
+import org.masticcroft.gateway.fleet.ListingHistory;
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
+import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.event.Event;
@@ -38,6 +40,7 @@
     private final AccountRecorder account;
     private final InputClock inputs;
     private final ExecutionPauses pauses;
+    private final ListingHistory listings;
     private final DeferredRemovals deferredRemovals;
     private final Evacuations evacuations = Evacuations.none();
     private Optional<GatewayConfig> config = Optional.empty();
@@ -58,7 +61,8 @@
         this.inputs = inputs;
         this.pauses = ExecutionPauses.watch(time);
         this.upstreams = upstreams;
-        this.deferredRemovals = new DeferredRemovals(upstreams);
+        this.listings = ListingHistory.empty(time);
+        this.deferredRemovals = new DeferredRemovals(upstreams, listings);
         this.namedVersions = namedVersions;
         this.storeFreshness = storeFreshness;
         this.log = log;
@@ -105,7 +109,7 @@
 
     @Override
     public void snapshot(Directory directory, List<FleetChange> changes) {
-        changed(directory, changes);
+        changed(directory, changes.stream().filter(change -> !outdated(change)).toList());
         if (directory == Directory.OPERATOR) {
             operatorDirectoryRead = true;
             revokeMissingEvacuations(changes);
@@ -121,9 +125,13 @@
                 upstreams.listed().stream()
                         .map(upstream -> upstream.id())
                         .filter(id -> !ids.contains(id))
-                        .forEach(deferredRemovals::add);
+                        .forEach(deferredRemovals::addMissing);
                 applyDeferredRemovals(time.nanoTime());
             } else {
+                upstreams.listed().stream()
+                        .map(upstream -> upstream.id())
+                        .filter(id -> !ids.contains(id))
+                        .forEach(listings::remove);
                 upstreams.retainAll(ids, time.nanoTime());
             }
         }
@@ -152,6 +160,16 @@
         }
     }
 
+    @Override
+    public void storeRestored(Directory directory) {
+        if (directory == Directory.OPERATOR) {
+            evacuations.storeRestored(time.nanoTime());
+        } else {
+            listings.storeRestored();
+            deferredRemovals.beginAfterRestore(time.nanoTime());
+        }
+    }
+
     @Override
     public void recordsMissedSince(Directory directory, long nanos) {
         if (directory == Directory.OPERATOR) {
@@ -161,6 +179,7 @@
 
     /** Applies the deferred removals of upstreams that are due. */
     void applyDeferredRemovals(long nowNanos) {
+        evacuations.notRequestedAgain(nowNanos).forEach(this::revokeEvacuation);
         deferredRemovals.apply(nowNanos);
     }
 
@@ -175,28 +194,47 @@
         } else if (change instanceof FleetChange.EvacuationRevoked revoked) {
             revokeEvacuation(revoked.dataCentre());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
-            deferredRemovals.cancel(listed.listing().id());
-            // At the first read, the upstreams have been running for an unknown time, and their own statements count.
-            Duration coldTime = upstreamsDirectoryRead
-                    ? coldLimits(listed.listing().service()).time()
-                    : Duration.ZERO;
-            upstreams.put(listed.listing(), coldTime, now);
+            applyListing(listed.listing(), now);
         } else if (change instanceof FleetChange.UpstreamRemoved removed) {
             if (deferredRemovals.active()) {
                 deferredRemovals.add(removed.id());
             } else {
-                upstreams.remove(removed.id(), now);
+                removeUpstream(removed.id(), now);
             }
         } else if (change instanceof FleetChange.Unreadable unreadable) {
             log.write(Event.CONFIG_RECORD_IGNORED, "key", unreadable.key(), "reason", unreadable.reason());
             if (directory == Directory.UPSTREAMS) {
                 // The newest record of this id names no upstream. It is replaced when the upstream writes again.
                 deferredRemovals.cancel(unreadable.key());
-                upstreams.remove(unreadable.key(), now);
+                removeUpstream(unreadable.key(), now);
             }
         }
     }
 
+    private void applyListing(UpstreamListing listing, long now) {
+        if (!listings.add(listing)) {
+            log.write(
+                    Event.LISTING_OUTDATED,
+                    "upstream",
+                    listing.id(),
+                    "sequence",
+                    listing.sequence(),
+                    "leaving",
+                    listing.leaving());
+            return;
+        }
+        deferredRemovals.cancel(listing.id());
+        // At the first read, the upstreams have been running for an unknown time, and their own statements count.
+        Duration coldTime =
+                upstreamsDirectoryRead ? coldLimits(listing.service()).time() : Duration.ZERO;
+        upstreams.put(listing, coldTime, now);
+    }
+
+    private void removeUpstream(String id, long now) {
+        listings.remove(id);
+        upstreams.remove(id, now);
+    }
+
     /** Applies a named version that a sidecar reported. */
     void applyNamedVersion(String model, long version) {
         recordNamedVersion(model, version);
@@ -251,6 +289,12 @@
         log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
     }
 
+    /** Returns whether a record of a full read is older than what this process has read before. */
+    private boolean outdated(FleetChange change) {
+        return change instanceof FleetChange.EvacuationRequested requested
+                && evacuations.outdated(requested.dataCentre());
+    }
+
     private void requestEvacuation(String dataCentre) {
         if (evacuations.request(dataCentre)) {
             account.recordChange("evacuation-requested", Map.of("data-centre", dataCentre));
@@ -273,7 +317,7 @@
                 requested.add(evacuation.dataCentre());
             }
         }
-        evacuations.notAmong(requested).forEach(this::revokeEvacuation);
+        evacuations.revokedBy(requested).forEach(this::revokeEvacuation);
     }
 
     private void applyConfig(GatewayConfig published) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
@@ -55,7 +55,7 @@
                 table, service -> new ColdLimits(COLD_TIME, limits.perSecond()), limits.over(), limits.slack(), log);
 
         private void list(String id, Address address, Duration coldTime) {
-            table.put(new UpstreamListing(id, "s", address, "z1", 12, false, 1, OptionalLong.of(1)), coldTime, now);
+            table.put(new UpstreamListing(id, "s", address, "z1", 12, false, 1, 1, OptionalLong.of(1)), coldTime, now);
         }
 
         private void report(int entries) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/PlacementRulesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/PlacementRulesTest.java
@@ -48,7 +48,7 @@
 
     private void list(String id, String zone) {
         Address address = new Address("10.0.0." + id.substring(1), 80);
-        table.put(new UpstreamListing(id, "s", address, zone, 1, false, 1, OptionalLong.of(1)), time.nanoTime());
+        table.put(new UpstreamListing(id, "s", address, zone, 1, false, 1, 1, OptionalLong.of(1)), time.nanoTime());
     }
 
     private FakeRequest request(String id, String... regions) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
@@ -20,7 +20,8 @@
     private static final EngineProfile PROFILE = new EngineProfile("m", 7, 7.4, 0.04, 32);
 
     private static UpstreamListing listing() {
-        return new UpstreamListing("e1", "s", new Address("10.0.0.1", 80), "z1", SLOTS, false, 1, OptionalLong.of(1));
+        return new UpstreamListing(
+                "e1", "s", new Address("10.0.0.1", 80), "z1", SLOTS, false, 1, 1, OptionalLong.of(1));
     }
 
     private static FakeRequest request() {
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -19,6 +19,8 @@
     EVACUATION_REQUESTED(1106, "The operator requested that nothing more be sent to a data centre."),
     EVACUATION_REVOKED(
             1107, "The operator revoked the evacuation of a data centre; its upstreams are refilled gradually."),
+    STORE_RESTORED(1108, "The store came back from an older copy; the directory that is read in full is given."),
+    LISTING_OUTDATED(1109, "A listing of an upstream has no effect because a newer one is known."),
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
