Refill a data centre gradually after its evacuation was revoked

Cause: the engines of a returning data centre are empty, so every entry predicts the shortest time there. Change: GradualRefill limits what an entry sends to an engine with load reports in the 3 s after the revocation, to the growth of its load from that at the return and to the entry's share of a rate that grows from zero. Services without reports are not limited.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
@@ -10,6 +10,8 @@
     DATA_CENTRE_EVACUATED(true),
     /** The upstream is cold and has received as many requests as it tolerates for now. */
     COLD_RATE_REACHED(false),
+    /** The data centre of the upstream returns from an evacuation and is filled gradually. */
+    REFILL_RATE_REACHED(false),
     /** The requests at the upstream leave too little of its memory. */
     MEMORY_FULL(false);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -23,6 +23,7 @@
 import org.masticcroft.gateway.dispatch.AllowedRegionsRule;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
+import org.masticcroft.gateway.dispatch.GradualRefill;
 import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
@@ -175,7 +176,9 @@
         this.chooser = UpstreamChooser.of(
                 settings.zone(),
                 PlacementRules.of(
-                        EvacuatedDataCentres.of(fleet.evacuations()), AllowedRegionsRule.of(settings::regionOf)));
+                        EvacuatedDataCentres.of(fleet.evacuations()),
+                        AllowedRegionsRule.of(settings::regionOf),
+                        GradualRefill.of(fleet.evacuations(), dependencies.random())));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
