Withdraw unanswered requests from an evacuated data centre

Cause: a request that was sent before an evacuation may still be on its way, if the path to its upstream was cut since. The network delivers it once the path is back, later than the 5 s that an evacuation allows. Change: requests without any response are withdrawn with a reset 2 s after their entry has learned of the evacuation, and repeated elsewhere if they may be. Responses that have begun go on.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.masticcroft.gateway.config.AllowedRegions;
 import org.masticcroft.gateway.config.Customer;
@@ -278,6 +279,13 @@
         }
     }
 
+    /** Withdraws the request from the given upstreams if they have sent no part of a response. */
+    public void withdrawUnanswered(Predicate<Upstream> upstreams, String reason) {
+        openAttempts().stream()
+                .filter(open -> !open.answered() && upstreams.test(open.upstream()))
+                .forEach(open -> open.withdraw(reason));
+    }
+
     /** Records that the upstream of the current attempt failed as if it had crashed, and had not answered. */
     void recordPossibleCrash() {
         mayHaveCrashedUpstream = true;
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -122,6 +122,11 @@
         return contentReceived;
     }
 
+    /** Returns whether any part of a response was received, so that the upstream has the request. */
+    boolean answered() {
+        return head != null;
+    }
+
     /** Returns the version of the weights that the request was sent for, if known. */
     OptionalLong weightsVersion() {
         return weightsVersion;
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
@@ -1,19 +1,25 @@
 package org.masticcroft.gateway.fleet;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * The data centres that the operator has evacuated, as this process last read them, and when it learned that an
  * evacuation was revoked. Used on the event loop only.
  */
 public final class Evacuations {
-    private final Set<String> evacuated = new HashSet<>();
+    /**
+     * Time after this process has learned of an evacuation at which requests without any response are withdrawn. The
+     * network may still hold them and would deliver them later than the 5 s that an evacuation allows; this process
+     * learns of it within 1.3 s, or within 2.9 s if its connection to the store has to be replaced.
+     */
+    private static final Duration WITHDRAWAL_DELAY = Duration.ofSeconds(2);
+
+    private final Map<String, Long> requestedNanos = new HashMap<>();
     private final Map<String, Long> revokedNanos = new HashMap<>();
 
     private Evacuations() {}
@@ -24,14 +30,14 @@
     }
 
     /** Records that the evacuation of a data centre is requested; returns false if this was known. */
-    public boolean request(String dataCentre) {
+    public boolean request(String dataCentre, long nowNanos) {
         revokedNanos.remove(dataCentre);
-        return evacuated.add(dataCentre);
+        return requestedNanos.putIfAbsent(dataCentre, nowNanos) == null;
     }
 
     /** Records that the evacuation of a data centre is revoked; returns false if none was in force. */
     public boolean revoke(String dataCentre, long nowNanos) {
-        boolean inForce = evacuated.remove(dataCentre);
+        boolean inForce = requestedNanos.remove(dataCentre) != null;
         if (inForce) {
             revokedNanos.put(dataCentre, nowNanos);
         }
@@ -40,7 +46,7 @@
 
     /** Returns the data centres whose evacuation is in force although it is not among the requested ones. */
     public List<String> notAmong(Collection<String> requested) {
-        return evacuated.stream()
+        return requestedNanos.keySet().stream()
                 .filter(dataCentre -> !requested.contains(dataCentre))
                 .sorted()
                 .toList();
@@ -48,7 +54,13 @@
 
     /** Returns whether nothing may be sent to the upstreams of a data centre. */
     public boolean inForce(String dataCentre) {
-        return evacuated.contains(dataCentre);
+        return requestedNanos.containsKey(dataCentre);
+    }
+
+    /** Returns whether requests at a data centre that have no response yet must be withdrawn. */
+    public boolean withdrawsUnanswered(String dataCentre, long nowNanos) {
+        Long requested = requestedNanos.get(dataCentre);
+        return requested != null && nowNanos - requested >= WITHDRAWAL_DELAY.toNanos();
     }
 
     /** Returns the monotonic time in nanoseconds of the last revocation; empty if there was none since a request. */
@@ -59,6 +71,6 @@
 
     /** Returns the number of evacuated data centres. */
     public int count() {
-        return evacuated.size();
+        return requestedNanos.size();
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -581,6 +581,10 @@
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
             exchange.checkWeightsVersion();
+            exchange.withdrawUnanswered(
+                    upstream -> fleet.evacuations()
+                            .withdrawsUnanswered(upstream.listing().zone(), now),
+                    "data-centre-evacuated");
             exchange.checkStall(now);
         });
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -240,7 +240,7 @@
     }
 
     private void requestEvacuation(String dataCentre) {
-        if (evacuations.request(dataCentre)) {
+        if (evacuations.request(dataCentre, time.nanoTime())) {
             account.recordChange("evacuation-requested", Map.of("data-centre", dataCentre));
             log.write(Event.EVACUATION_REQUESTED, "data_centre", dataCentre);
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/GradualRefillTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/GradualRefillTest.java
@@ -142,7 +142,7 @@
     /** Plays a return of the first data centre; returns what it gets in each quarter second from then on. */
     private List<Long> playReturn(boolean gradual) {
         createFleet(gradual);
-        evacuations.request("z0");
+        evacuations.request("z0", nanos());
         play(RETURN_MILLIS);
         assertThat(received.subList(0, RETURNING)).allMatch(List::isEmpty);
         evacuations.revoke("z0", nanos());
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/PlacementRulesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/PlacementRulesTest.java
@@ -71,7 +71,7 @@
     class AnEvacuation {
         @Test
         void sendsRequestsToOtherDataCentres() {
-            evacuations.request("z1");
+            evacuations.request("z1", time.nanoTime());
             assertThat(upstream(add(request("a")))).isEqualTo("e2");
         }
 
@@ -82,7 +82,7 @@
             FakeRequest waiting = add(request("waiting", "r1"));
             assertThat(waiting.refusal).isEmpty();
 
-            evacuations.request("z1");
+            evacuations.request("z1", time.nanoTime());
             queue.dispatchWaiting(PROFILE, VersionLimit.none());
             assertThat(waiting.refusal.orElseThrow().retryAfter()).isPositive();
             assertThat(add(request("later", "r1")).refusal).isPresent();
@@ -94,7 +94,7 @@
             FakeRequest chosen = add(request("chosen", "r1"));
             Upstream upstream = chosen.choice.orElseThrow().upstream();
             assertThat(chooser.allows(chosen, upstream, time.nanoTime())).isTrue();
-            evacuations.request("z1");
+            evacuations.request("z1", time.nanoTime());
             assertThat(chooser.allows(chosen, upstream, time.nanoTime())).isFalse();
         }
 
@@ -105,7 +105,7 @@
             tried.triedUpstreams().add("e2");
             assertThat(chooser.anyUntried(tried, table.listed(), time.nanoTime()))
                     .isTrue();
-            evacuations.request("z1");
+            evacuations.request("z1", time.nanoTime());
             assertThat(chooser.anyUntried(tried, table.listed(), time.nanoTime()))
                     .isFalse();
         }
