Merge the refill of data centres after an evacuation

Requests without any response are withdrawn from an evacuated data centre after 2 s, and its engines are refilled gradually once the evacuation is revoked.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -24,6 +24,7 @@
 import org.masticcroft.gateway.dispatch.ColdUpstreams;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
+import org.masticcroft.gateway.dispatch.GradualRefill;
 import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
@@ -187,7 +188,8 @@
                         EvacuatedDataCentres.of(fleet.evacuations()),
                         AllowedRegionsRule.of(settings::regionOf),
                         coldUpstreams,
-                        SlotShare.of(settings.ip(), fleet::profile)));
+                        SlotShare.of(settings.ip(), fleet::profile),
+                        GradualRefill.of(fleet.evacuations(), dependencies.random())));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
@@ -592,6 +594,10 @@
         long now = time.nanoTime();
         List.copyOf(openExchanges).forEach(exchange -> {
             exchange.checkWeightsVersion();
+            exchange.withdrawUnanswered(
+                    upstream -> fleet.evacuations()
+                            .withdrawsUnanswered(upstream.listing().zone(), now),
+                    "data-centre-evacuated");
             exchange.checkStall(now);
         });
     }
