Keep the requests at an engine within its memory

Cause: an engine crashes if the prompts and responses that it holds exceed its memory, and only slots and pending prefill were counted. Change: the placement rule EngineMemory counts the prompts and largest responses of the open attempts of this entry, and what load reports show beyond its prompts, up to 85 % of kv-capacity-tokens. One that needs more than a twelfth of the memory no longer holds up those behind it. Without a stated memory nothing changes.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
@@ -37,6 +37,11 @@
     /** Returns the number of prompt tokens; 0 if the request is not for a model. */
     int promptTokens();
 
+    /** Returns the largest number of tokens that an engine holds for the request, those of the response included. */
+    default int memoryTokens() {
+        return promptTokens();
+    }
+
     /** Returns the ids of the upstreams that the request was sent to before. */
     Set<String> triedUpstreams();
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -84,7 +84,7 @@
         List<Upstream> upstreams = table.ofService(service);
         boolean isNext = waiting.stream()
                 .filter(other -> priority(other, now) <= priority)
-                .allMatch(other -> waitsForFewUpstreams(other)
+                .allMatch(other -> waitsForFewUpstreams(other, profile)
                         && chooser.choose(other, upstreams, profile, limit, now).isEmpty());
         if (isNext) {
             Optional<QueuedRequest.Choice> choice = chooser.choose(request, upstreams, profile, limit, now);
@@ -147,7 +147,7 @@
             if (choice.isPresent()) {
                 waiting.remove(request);
                 dispatch(request, choice.get());
-            } else if (waitsForFewUpstreams(request)) {
+            } else if (waitsForFewUpstreams(request, profile)) {
                 // Upstreams that it may not be sent to may have room for others.
                 withoutRoom.add(request);
             } else {
@@ -256,9 +256,12 @@
         return !pause.isZero() && now + pause.toNanos() - request.firstByteDeadlineNanos() >= 0;
     }
 
-    /** Returns whether a request waits only for some upstreams: those not tried yet, or those in allowed regions. */
-    private static boolean waitsForFewUpstreams(QueuedRequest request) {
-        return request.alreadySent() || request.allowedRegions().restricted();
+    /**
+     * Returns whether a request waits only for some upstreams: those not tried yet, those in allowed regions, or those
+     * with much free memory.
+     */
+    private static boolean waitsForFewUpstreams(QueuedRequest request, Optional<EngineProfile> profile) {
+        return request.alreadySent() || request.allowedRegions().restricted() || EngineMemory.isLarge(request, profile);
     }
 
     /** Refuses the requests that no upstream serves. */
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -41,6 +41,9 @@
     private boolean saysLeaving;
     private int inFlight;
     private double pendingPromptTokens;
+    private long memoryTokens;
+    private long promptTokensHeld;
+    private long promptTokensAtReport;
     private OptionalLong servedVersion;
     private LoadReport report;
     private long reportNanos;
@@ -142,6 +145,27 @@
         return report == null || report.entries() == 0 ? OptionalInt.empty() : OptionalInt.of(report.entries());
     }
 
+    /** Returns the tokens that the requests of this entry may take in the memory, prompts and largest responses. */
+    public long memoryTokens() {
+        return memoryTokens;
+    }
+
+    /**
+     * Returns the tokens that the last report shows beyond the prompts of this entry. The responses of this entry are
+     * contained, because it does not know how far they had come.
+     *
+     * @param capacity tokens that the engine can hold
+     */
+    double memoryTokensOfOthers(long capacity) {
+        return Math.max(0, memoryUsed() * capacity - promptTokensAtReport);
+    }
+
+    /** Records that the upstream holds a request of this entry, or holds it no more if the numbers are negative. */
+    public void addMemoryTokens(long tokens, long promptTokens) {
+        memoryTokens += tokens;
+        promptTokensHeld += promptTokens;
+    }
+
     /** Returns the last stated share of the memory for requests that is in use, from 0 to 1; 0 if none was stated. */
     public double memoryUsed() {
         return report == null ? 0 : report.memoryUsed();
@@ -250,6 +274,7 @@
     void applyReport(LoadReport newReport, long nowNanos) {
         report = newReport;
         reportNanos = nowNanos;
+        promptTokensAtReport = promptTokensHeld;
         otherEntriesLoad = Math.max(0, newReport.running() + newReport.queued() - inFlight);
         servedVersion = newReport.servedVersion();
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -180,6 +180,11 @@
         return request.generation().map(CallerRequest.Generation::promptTokens).orElse(0);
     }
 
+    @Override
+    public int memoryTokens() {
+        return request.generation().map(CallerRequest.Generation::memoryTokens).orElse(0);
+    }
+
     @Override
     public Set<String> triedUpstreams() {
         return triedUpstreams;
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -57,6 +57,7 @@
     static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
         UpstreamAttempt attempt = new UpstreamAttempt(exchange, context, upstream);
         upstream.recordSend(exchange.promptTokens(), attempt.startNanos);
+        upstream.addMemoryTokens(exchange.memoryTokens(), exchange.promptTokens());
         // If the upstream closes a reused connection while the request is on its way, it is unknown whether the request
         // ran. A request that may run at most once, such as a stream that cannot be resumed, therefore gets a new
         // connection.
@@ -393,6 +394,7 @@
                 upstream.recordNoFirstByte(exchange.promptTokens(), startNanos);
             }
             upstream.recordEnd();
+            upstream.addMemoryTokens(-exchange.memoryTokens(), -exchange.promptTokens());
             context.onCapacityFreed(upstream.listing().service());
         }
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerRequest.java
@@ -64,9 +64,20 @@
      * @param sharedParts ids of the parts of the prompt that other requests may share, in order
      */
     public record Generation(String model, int promptTokens, int maxOutputTokens, List<Long> sharedParts) {
+        /**
+         * Tokens of a response whose maximum is unknown. An engine generates about a hundred tokens a second for a
+         * request, and requests run for less than 15 seconds.
+         */
+        private static final int UNSTATED_OUTPUT_TOKENS = 2048;
+
         public Generation {
             Objects.requireNonNull(model, "model");
             sharedParts = List.copyOf(sharedParts);
         }
+
+        /** Returns the largest number of tokens that an engine holds for the request. */
+        public int memoryTokens() {
+            return promptTokens + (maxOutputTokens > 0 ? maxOutputTokens : UNSTATED_OUTPUT_TOKENS);
+        }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -21,6 +21,7 @@
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.ColdUpstreams;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.EngineMemory;
 import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
@@ -177,7 +178,8 @@
                 settings.bounds().coldOver(),
                 settings.bounds().coldSlack(),
                 log);
-        this.chooser = UpstreamChooser.of(settings.zone(), PlacementRules.of(coldUpstreams));
+        this.chooser = UpstreamChooser.of(
+                settings.zone(), PlacementRules.of(coldUpstreams, EngineMemory.of(fleet::profile, log)));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -10,6 +10,7 @@
     private final String id;
     private final Rank rank;
     boolean alreadySent;
+    int memoryTokens;
     private final long arrivalNanos;
     private final Duration target;
     private final Duration callerTimeout;
@@ -65,6 +66,11 @@
         return 800;
     }
 
+    @Override
+    public int memoryTokens() {
+        return memoryTokens;
+    }
+
     @Override
     public Set<String> triedUpstreams() {
         return triedUpstreams;
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -40,6 +40,7 @@
     UPSTREAM_COLD(
             1229, "An upstream is cold and gets few requests; the cause and the stated number of entries are given."),
     UPSTREAM_WARM(1230, "An upstream is no longer cold."),
+    ENGINE_MEMORY_FULL(1231, "The memory of an engine has no room for a request; the tokens are given, once a second."),
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
