Keep the last stated number of entries, and look it up only for cold upstreams

Cause: a sidecar that restarts states no number for 2.5 s, which took the number away that was valid before; and each check of a warm upstream looked up the number of all upstreams. Change: a report without a number keeps the earlier one; the number is looked up for cold upstreams only.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
@@ -60,16 +60,19 @@
         if (!service.limited()) {
             return PlacementDecision.ALLOWED;
         }
-        OptionalInt stated = table.statedEntries();
         Sends sent = sends.computeIfAbsent(upstream, key -> new Sends());
         // A new process under the same id takes requests before the list names it, longer if the store is unreachable.
         upstream.restartNanos()
                 .ifPresent(nanos ->
                         upstream.recordCold(service.time().minusNanos(nowNanos - nanos), "restarted", nowNanos));
-        recordState(upstream, sent, stated, nowNanos);
+        if (upstream.cold(nowNanos) != sent.cold) {
+            sent.cold = !sent.cold;
+            logState(upstream, sent.cold, nowNanos);
+        }
         if (!sent.cold) {
             return PlacementDecision.ALLOWED;
         }
+        OptionalInt stated = table.statedEntries();
         if (stated.isEmpty() && othersServe(request, upstream, nowNanos)) {
             return PlacementDecision.COLD_RATE_REACHED;
         }
@@ -114,13 +117,9 @@
                         && !request.triedUpstreams().contains(other.id()));
     }
 
-    private void recordState(Upstream upstream, Sends sent, OptionalInt stated, long nowNanos) {
-        boolean cold = upstream.cold(nowNanos);
-        if (cold == sent.cold) {
-            return;
-        }
-        sent.cold = cold;
+    private void logState(Upstream upstream, boolean cold, long nowNanos) {
         if (cold) {
+            OptionalInt stated = table.statedEntries();
             log.write(
                     Event.UPSTREAM_COLD,
                     "upstream",
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -56,6 +56,7 @@
     private int consecutiveRefusals;
     private long coldUntilNanos;
     private String coldCause = "";
+    private int statedEntries;
     private long newestStartMillis;
     private OptionalLong restartNanos = OptionalLong.empty();
     private final RecentMaximum slowestFirstByte;
@@ -142,7 +143,7 @@
 
     /** Returns the last stated number of entries that send requests to the upstream; empty if none was stated. */
     public OptionalInt entries() {
-        return report == null || report.entries() == 0 ? OptionalInt.empty() : OptionalInt.of(report.entries());
+        return statedEntries == 0 ? OptionalInt.empty() : OptionalInt.of(statedEntries);
     }
 
     /** Returns the tokens that the requests of this entry may take in the memory, prompts and largest responses. */
@@ -275,6 +276,8 @@
         report = newReport;
         reportNanos = nowNanos;
         promptTokensAtReport = promptTokensHeld;
+        // A sidecar that restarts states no number for a while, in which the earlier one remains valid.
+        statedEntries = newReport.entries() > 0 ? newReport.entries() : statedEntries;
         otherEntriesLoad = Math.max(0, newReport.running() + newReport.queued() - inFlight);
         servedVersion = newReport.servedVersion();
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
@@ -187,6 +187,17 @@
                     .isZero();
         }
 
+        /** Guards against a sidecar whose restart takes the number away that all entries know. */
+        @Test
+        void keepsTheNumberThatWasStatedBefore() {
+            assertThat(sent(() -> {
+                        fleet.get(0).list("warm", new Address("10.0.0.2", 80), Duration.ZERO);
+                        fleet.get(0).report(20);
+                        fleet.get(0).report(0);
+                    }))
+                    .isEqualTo(1);
+        }
+
         /** Guards against a just started sidecar that holds back all entries, although the others state the number. */
         @Test
         void takesTheNumberOfAnyOtherSidecar() {
