--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -42,6 +42,9 @@
     private boolean saysLeaving;
     private int inFlight;
     private double pendingPromptTokens;
+    private long memoryTokens;
+    private long promptTokensHeld;
+    private long promptTokensAtReport;
     private OptionalLong servedVersion;
     private LoadReport report;
     private long reportNanos;
@@ -56,6 +59,7 @@
     private int consecutiveRefusals;
     private long coldUntilNanos;
     private String coldCause = "";
+    private int statedEntries;
     private long newestStartMillis;
     private OptionalLong restartNanos = OptionalLong.empty();
     private final RecentMaximum slowestFirstByte;
@@ -142,7 +146,28 @@
 
     /** Returns the last stated number of entries that send requests to the upstream; empty if none was stated. */
     public OptionalInt entries() {
-        return report == null || report.entries() == 0 ? OptionalInt.empty() : OptionalInt.of(report.entries());
+        return statedEntries == 0 ? OptionalInt.empty() : OptionalInt.of(statedEntries);
+    }
+
+    /** Returns the tokens that the requests of this entry may take in the memory, prompts and largest responses. */
+    public long memoryTokens() {
+        return memoryTokens;
+    }
+
+    /**
+     * Returns the tokens that the last report shows beyond the prompts of this entry. The responses of this entry are
+     * contained, because it does not know how far they had come.
+     *
+     * @param capacity tokens that the engine can hold
+     */
+    double memoryTokensOfOthers(long capacity) {
+        return Math.max(0, memoryUsed() * capacity - promptTokensAtReport);
+    }
+
+    /** Records that the upstream holds a request of this entry, or holds it no more if the numbers are negative. */
+    public void addMemoryTokens(long tokens, long promptTokens) {
+        memoryTokens += tokens;
+        promptTokensHeld += promptTokens;
     }
 
     /** Returns the last stated share of the memory for requests that is in use, from 0 to 1; 0 if none was stated. */
@@ -275,6 +300,9 @@
         reportNanos = nowNanos;
         sentSinceReport = 0;
         endedSinceReport = 0;
+        promptTokensAtReport = promptTokensHeld;
+        // A sidecar that restarts states no number for a while, in which the earlier one remains valid.
+        statedEntries = newReport.entries() > 0 ? newReport.entries() : statedEntries;
         otherEntriesLoad = Math.max(0, newReport.running() + newReport.queued() - inFlight);
         servedVersion = newReport.servedVersion();
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * The data centres that the operator has evacuated, as this process last read them, and when it learned that an
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -23,6 +23,7 @@
 import org.masticcroft.gateway.dispatch.AllowedRegionsRule;
 import org.masticcroft.gateway.dispatch.ColdUpstreams;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
+import org.masticcroft.gateway.dispatch.EngineMemory;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
 import org.masticcroft.gateway.dispatch.GradualRefill;
 import org.masticcroft.gateway.dispatch.PlacementRules;
@@ -188,6 +189,7 @@
                         EvacuatedDataCentres.of(fleet.evacuations()),
                         AllowedRegionsRule.of(settings::regionOf),
                         coldUpstreams,
+                        EngineMemory.of(fleet::profile, log),
                         SlotShare.of(settings.ip(), fleet::profile),
                         GradualRefill.of(fleet.evacuations(), dependencies.random())));
         this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -12,6 +12,7 @@
     private final Rank rank;
     boolean alreadySent;
     int promptTokens = 800;
+    int memoryTokens;
     private final long arrivalNanos;
     private final Duration target;
     private final Duration callerTimeout;
@@ -68,6 +69,11 @@
         return promptTokens;
     }
 
+    @Override
+    public int memoryTokens() {
+        return memoryTokens;
+    }
+
     @Override
     public Set<String> triedUpstreams() {
         return triedUpstreams;
