Append the latest batches of the account again after a restore of the store

Cause: a store that comes back from an older copy loses batches that it acknowledged, and the next batch then follows one that the account lacks. Offsets of replaced copies are exported as copies, since the reader of a topic of keys returns nothing there (LogService keepsNewestOfKey); before, the verification reported them as missing offsets. It accepts the account otherwise unchanged.

--- a/account/src/main/java/org/masticcroft/account/export/AccountExport.java
+++ b/account/src/main/java/org/masticcroft/account/export/AccountExport.java
@@ -96,6 +96,7 @@
                 return nextOffset;
             }
             for (LogRecord record : page.records()) {
+                recordReplacedCopies(record.offset(), sink);
                 copyRecord(record, sink);
                 nextOffset = record.offset() + 1;
             }
@@ -111,6 +112,14 @@
         }
     }
 
+    /** Adds the offsets before a record whose records a later copy under the same key has replaced. */
+    private void recordReplacedCopies(long offset, ExportSink sink) {
+        while (log.keepsNewestOfKey() && nextOffset < offset) {
+            sink.addLine(ExportCodec.write(new ExportLine.Copy(nextOffset)));
+            nextOffset++;
+        }
+    }
+
     private void copyRecord(LogRecord record, ExportSink sink) {
         Optional<Batch> decoded = decode(record);
         if (decoded.isEmpty()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/account/EntryAccountWriter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/account/EntryAccountWriter.java
@@ -62,7 +62,12 @@
         this.writer = LogAccountWriter.of(
                 new AccountSettings(process, "entry", FLUSH_INTERVAL, IDLE_INTERVAL, BUFFER_BYTES, BATCH_BYTES),
                 (Supplier<SigningKey>) this::signingKey,
-                StoreAccountLog.of(store, loop, time, process),
+                StoreAccountLog.of(
+                        store,
+                        loop,
+                        time,
+                        process,
+                        batches -> log.write(Event.ACCOUNT_FLUSHED, "reason", "store-restored", "batches", batches)),
                 time,
                 PayloadCodec.deflate(),
                 events(log));
--- a/gateway/src/main/java/org/masticcroft/gateway/account/StoreAccountLog.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/account/StoreAccountLog.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.masticcroft.gateway.fleet.AccountRecords;
 import org.masticcroft.gateway.fleet.FleetStore;
 import org.masticcroft.kernel.error.ErrorCode;
@@ -26,7 +27,8 @@
 /**
  * Log service for the account stream, backed by the platform's store. The store retains each batch permanently under a
  * key of its own. Calls block until the event loop has completed them, so they must not be made on the event loop. The
- * store returns no time with a record, so the key contains the time of the append by the clock of the writer.
+ * store returns no time with a record, so the key contains the time of the append by the clock of the writer. Batches
+ * that the store may have lost by a restore are appended again.
  */
 public final class StoreAccountLog implements LogService {
     /** Timeout of a call: covers the time limit of the store itself, and several pages of a long account. */
@@ -39,15 +41,18 @@
     private final EventLoop loop;
     private final TimeSource time;
     private final String process;
+    private final AccountAppender appender;
     private long appends;
     private byte[] lastData = new byte[0];
     private String lastKey = "";
 
-    private StoreAccountLog(FleetStore store, EventLoop loop, TimeSource time, String process) {
+    private StoreAccountLog(
+            FleetStore store, EventLoop loop, TimeSource time, String process, AccountAppender appender) {
         this.store = store;
         this.loop = loop;
         this.time = time;
         this.process = process;
+        this.appender = appender;
     }
 
     /**
@@ -59,11 +64,31 @@
      * @param process name of the writing process, unique for each start
      */
     public static StoreAccountLog of(FleetStore store, EventLoop loop, TimeSource time, String process) {
+        return of(store, loop, time, process, batches -> {});
+    }
+
+    /**
+     * Creates the log service.
+     *
+     * @param store the platform's store
+     * @param loop event loop on which the store is called
+     * @param time time source
+     * @param process name of the writing process, unique for each start
+     * @param repetitionListener receives the number of batches that were appended again after a restore of the store
+     */
+    public static StoreAccountLog of(
+            FleetStore store, EventLoop loop, TimeSource time, String process, IntConsumer repetitionListener) {
         return new StoreAccountLog(
                 Objects.requireNonNull(store, "store"),
                 Objects.requireNonNull(loop, "loop"),
                 Objects.requireNonNull(time, "time"),
-                Objects.requireNonNull(process, "process"));
+                Objects.requireNonNull(process, "process"),
+                AccountAppender.of(store, loop, time, repetitionListener));
+    }
+
+    @Override
+    public boolean keepsNewestOfKey() {
+        return true;
     }
 
     @Override
@@ -75,7 +100,8 @@
             appends++;
         }
         String key = lastKey;
-        if (!this.<Boolean>await(reply -> store.appendAccountRecord(key, data, reply))) {
+        byte[] kept = lastData;
+        if (!this.<Boolean>await(reply -> appender.append(key, kept, reply))) {
             // A retry of the same bytes uses the same key, so that a lost acknowledgement leaves only one copy.
             throw unavailable("the store did not confirm " + key, null);
         }
--- a/ports/src/main/java/org/masticcroft/ports/log/LogService.java
+++ b/ports/src/main/java/org/masticcroft/ports/log/LogService.java
@@ -26,4 +26,12 @@
      * @throws MasticcroftException with {@code LOG_UNAVAILABLE} if the read fails
      */
     LogPage read(String stream, long from, int max, Duration wait);
+
+    /**
+     * Returns whether a record that is appended again under the same key replaces its earlier copies, so that reads
+     * return no records at their offsets.
+     */
+    default boolean keepsNewestOfKey() {
+        return false;
+    }
 }
