Forget removed upstreams after 60 s also if none is removed later

Cause: ListingHistory dropped old removals only when another upstream was removed, so that a removed upstream which lists itself again with the same sequence after a restore could stay unused for longer. Change: a removal older than 60 s excludes no listing.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/ListingHistory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/ListingHistory.java
@@ -60,15 +60,14 @@
 
     /** Returns whether a listing is older. Starts that are unknown can't be compared. */
     private boolean isOlder(UpstreamListing listing, Known known) {
-        if (listing.startMillis() == 0 || known.startMillis() == 0) {
+        boolean recent = time.since(known.recordedNanos()).compareTo(RETENTION) < 0;
+        if (listing.startMillis() == 0 || known.startMillis() == 0 || (known.removed() && !recent)) {
             return false;
         }
         boolean fromCopy = known.restores() < restores;
         if (listing.startMillis() != known.startMillis()) {
             // The wall clock of a machine may be set back, so within an era a restart may have an earlier start.
-            return fromCopy
-                    && listing.startMillis() < known.startMillis()
-                    && time.since(known.recordedNanos()).compareTo(RETENTION) < 0;
+            return fromCopy && recent && listing.startMillis() < known.startMillis();
         }
         return listing.sequence() < known.sequence()
                 || (fromCopy && known.removed() && listing.sequence() == known.sequence());
