--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/GradualRefillTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/GradualRefillTest.java
@@ -85,6 +85,7 @@
                                 SLOTS,
                                 false,
                                 1,
+                                1,
                                 OptionalLong.of(1)),
                         0));
             }
