Hedge requests that have no first byte after the usual time

Cause: a request waited for a slow upstream until its attempt counted as stalled. Change: with hedging.share above 0, an exchange sends a second attempt beside the first one, at most once, and never while requests wait for the service, for a suspected or non-idempotent request, beyond max-attempts, or beyond the budgets of hedges and retries. It uses the mechanism for stalled streams: the first attempt to answer wins, the other is cancelled. The account, events 1232 to 1234 and masticcroft_hedges_total record which one won.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/CrashSuspects.java
@@ -94,6 +94,12 @@
         return suspects.isEmpty();
     }
 
+    /** Returns whether an upstream recently failed without a response to a request. */
+    public boolean suspected(long fingerprint, long nowNanos) {
+        Suspect suspect = suspects.get(fingerprint);
+        return suspect != null && nowNanos - suspect.lastFailureNanos <= RETENTION.toNanos();
+    }
+
     /** Returns whether a request must not be sent to any upstream. */
     public boolean quarantined(long fingerprint, long nowNanos) {
         Suspect suspect = suspects.get(fingerprint);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PromptPartSuspects.java
@@ -177,6 +177,14 @@
         return parts.stream().allMatch(part -> !quarantined.contains(part) && wasAnswered(part));
     }
 
+    /** Returns whether an upstream crashed on a request with one of the parts, and no answer has cleared it since. */
+    public boolean anySuspected(Collection<Long> parts) {
+        return parts.stream()
+                .anyMatch(part -> quarantined.contains(part)
+                        || (suspects.containsKey(part)
+                                && !suspects.get(part).crashes.isEmpty()));
+    }
+
     /** Returns what the other processes should know. */
     public List<PartReport> reports(long nowNanos) {
         update(nowNanos);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/QueuedRequest.java
@@ -45,6 +45,14 @@
         return AllowedRegions.all();
     }
 
+    /**
+     * Returns whether the request is open at another upstream and an upstream is sought for a hedge, which is not worth
+     * what the upstream would risk.
+     */
+    default boolean hedge() {
+        return false;
+    }
+
     /** Sends the request to an upstream. */
     void dispatch(Choice choice);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.log.DecisionLog;
 import org.masticcroft.kernel.event.Event;
@@ -124,6 +125,29 @@
                 (now - request.waitingSinceNanos()) / 1_000_000);
     }
 
+    /**
+     * Dispatches the hedge of a request at once, or not at all. While requests wait, the capacity is theirs.
+     *
+     * @param worthwhile whether the upstream that was chosen is worth a hedge
+     * @return whether the hedge was dispatched
+     */
+    public boolean dispatchHedge(
+            QueuedRequest request,
+            Optional<EngineProfile> profile,
+            VersionLimit statedLimit,
+            Predicate<QueuedRequest.Choice> worthwhile) {
+        if (!waiting.isEmpty()) {
+            return false;
+        }
+        long now = time.nanoTime();
+        Optional<QueuedRequest.Choice> choice = chooser.choose(
+                        request, table.ofService(service), profile, forSlowResponses(statedLimit), now)
+                .filter(chosen -> chosen.load() < chosen.upstream().listing().slots())
+                .filter(worthwhile);
+        choice.ifPresent(chosen -> dispatch(request, chosen));
+        return choice.isPresent();
+    }
+
     /** Removes a request that no longer waits for an upstream. */
     public void remove(QueuedRequest request) {
         waiting.remove(request);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -23,10 +23,8 @@
 import org.masticcroft.gateway.dispatch.Rank;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.CallerRequest;
-import org.masticcroft.gateway.http.Forwarding;
 import org.masticcroft.gateway.http.ResponseHead;
 import org.masticcroft.gateway.http.ResponseWriter;
-import org.masticcroft.kernel.event.Event;
 import org.masticcroft.kernel.verdict.Verdict;
 
 /**
@@ -70,10 +68,11 @@
     private final ResponseDigest digest = new ResponseDigest();
 
     private Future<?> deadlineTimer;
+    private final Hedge hedge;
     private UpstreamAttempt attempt;
 
-    /** An earlier attempt at a stream, which stalled and goes on until the current one has continued the stream. */
-    private UpstreamAttempt stalledAttempt;
+    /** An attempt that stalled at a stream, or was hedged, and goes on until the current one has taken its place. */
+    private UpstreamAttempt earlierAttempt;
 
     private long lastEventId;
     private int attempts;
@@ -110,6 +109,7 @@
         this.replacementRefusedNanos = arrivalNanos - REPLACEMENT_PAUSE.toNanos();
         this.latestDeadlineNanos = context.time().nanoTime() + timeout.toNanos();
         this.deadlineTimer = timerAt(deadlineNanos);
+        this.hedge = new Hedge(this, context);
     }
 
     /** Starts the exchange of a request that was matched to a route. */
@@ -185,6 +185,22 @@
         return triedUpstreams;
     }
 
+    @Override
+    public boolean hedge() {
+        return attempt != null && !awaitingReplacement;
+    }
+
+    /** Returns whether the response has not started and is awaited from the given attempt alone. */
+    boolean awaitsFirstByteOf(UpstreamAttempt open) {
+        return !closed
+                && writer.connected()
+                && attempt == open
+                && earlierAttempt == null
+                && !awaitingReplacement
+                && !responseStarted
+                && !open.responseBegun();
+    }
+
     public CallerRequest request() {
         return request;
     }
@@ -203,6 +219,13 @@
             replaceStalledAttempt(choice);
             return;
         }
+        if (hedge()) {
+            earlierAttempt = attempt;
+            history.hedge();
+            hedge.open(attempt, attempts, choice);
+            send(choice);
+            return;
+        }
         if (!context.admit(request)) {
             refuse(new Refusal("quarantined-part", context.retryAfter()));
             return;
@@ -217,38 +240,9 @@
         attempts++;
         triedUpstreams.add(upstream.id());
         history.start(choice);
-        context.log()
-                .write(
-                        Event.ROUTING_DECISION,
-                        "request",
-                        id(),
-                        "attempt",
-                        attempts,
-                        "upstream",
-                        upstream.id(),
-                        "candidates",
-                        choice.candidates(),
-                        "predicted_ms",
-                        Math.round(choice.predictedMillis()),
-                        "load",
-                        choice.load(),
-                        "report_age_ms",
-                        upstream.reportAgeMillis(now).isPresent()
-                                ? upstream.reportAgeMillis(now).getAsLong()
-                                : "none",
-                        "pace",
-                        upstream.pace(now),
-                        "weights",
-                        upstream.servedVersion().isPresent()
-                                ? upstream.servedVersion().getAsLong()
-                                : "none",
-                        "outdated_ms",
-                        context.outdatedFor(upstream).map(Duration::toMillis).orElse(0L),
-                        "waited_ms",
-                        (now - arrivalNanos) / 1_000_000,
-                        "config",
-                        context.configVersion());
-        attempt = UpstreamAttempt.send(this, context, upstream, forwarding(upstream, now));
+        AttemptLog.sent(context, this, attempts, choice, now);
+        attempt = UpstreamAttempt.send(this, context, upstream);
+        hedge.await(attempt);
     }
 
     @Override
@@ -302,8 +296,8 @@
         awaitingReplacement = false;
         if (replaceable(context.time().nanoTime()) && context.admit(request) && context.tryRetry(service)) {
             if (isStream() && attempt.sent()) {
-                cancelStalledAttempt();
-                stalledAttempt = attempt;
+                cancelEarlierAttempt("stalled");
+                earlierAttempt = attempt;
                 attempt.recordStall();
             } else {
                 attempt.abandon();
@@ -318,39 +312,71 @@
         possibleRuns++;
         mayHaveRun = true;
         history.stall(Verdict.MAY_HAVE_RUN, reason);
-        logFailedAttempt(upstream, Verdict.MAY_HAVE_RUN, reason);
+        AttemptLog.failed(context, this, attempts, upstream, Verdict.MAY_HAVE_RUN, reason);
     }
 
-    boolean hasStalledAttempt() {
-        return stalledAttempt != null;
+    /**
+     * Returns whether an error of one attempt leaves another one that may still answer. An error that is the fault of
+     * the request counts as the answer to a hedged one.
+     */
+    boolean otherMayAnswer(int status) {
+        return earlierAttempt != null && (!hedge.isOpen() || status >= 500);
     }
 
-    /** Has an attempt go on with the stream, and cancels the other one. */
+    /** Records the time from the sending of an attempt to the first byte of its response. */
+    void recordTimeToFirstByte(Duration timeToFirstByte) {
+        hedge.recordTimeToFirstByte(timeToFirstByte);
+    }
+
+    /** Has an attempt answer the request, and cancels the other one. */
     void choose(UpstreamAttempt chosen) {
-        if (chosen != stalledAttempt) {
-            cancelStalledAttempt();
+        if (earlierAttempt == null) {
+            return;
+        }
+        if (chosen != earlierAttempt) {
+            hedge.report(HedgeOutcome.WON, chosen, earlierAttempt);
+            cancelEarlierAttempt("lost-to-hedge");
             return;
         }
-        boolean sent = attempt.sent();
-        cancelAttempt(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, "other-upstream-went-on");
-        if (sent) {
-            possibleRuns++;
+        UpstreamAttempt cancelled = attempt;
+        boolean sent = cancelled.sent();
+        cancelAttempt(
+                sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
+                hedge.isOpen() ? "hedge-lost" : "other-upstream-went-on");
+        countPossibleRun(sent);
+        resumeEarlierAttempt(HedgeOutcome.LOST, cancelled);
+    }
+
+    private void resumeEarlierAttempt(HedgeOutcome outcome, UpstreamAttempt ended) {
+        attempt = earlierAttempt;
+        earlierAttempt = null;
+        possibleRuns -= hedge.isOpen() ? 0 : 1;
+        hedge.report(outcome, attempt, ended);
+        hedge.close();
+        history.resumeEarlier();
+    }
+
+    private void cancelEarlierAttempt(String reason) {
+        if (earlierAttempt != null) {
+            endHedgedAttempt(earlierAttempt.sent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, reason);
+            earlierAttempt.cancel();
+            earlierAttempt = null;
         }
-        resumeStalledAttempt();
     }
 
-    private void resumeStalledAttempt() {
-        attempt = stalledAttempt;
-        stalledAttempt = null;
-        possibleRuns--;
-        history.resumeStalled();
+    /** Records the end of the earlier attempt if it was hedged; that of a stalled one is recorded already. */
+    private void endHedgedAttempt(Verdict verdict, String reason) {
+        if (hedge.isOpen()) {
+            hedge.close();
+            countPossibleRun(verdict == Verdict.MAY_HAVE_RUN);
+            history.endHedged(verdict, reason);
+            context.onAttemptEnded(earlierAttempt.upstream().id(), reason);
+        }
     }
 
-    private void cancelStalledAttempt() {
-        if (stalledAttempt != null) {
-            stalledAttempt.cancel();
-            stalledAttempt = null;
-        }
+    private void countPossibleRun(boolean mayHaveRunNow) {
+        possibleRuns += mayHaveRunNow ? 1 : 0;
+        mayHaveRun |= mayHaveRunNow;
     }
 
     private void cancelReplacement() {
@@ -377,17 +403,22 @@
         }
     }
 
-    /** Returns the attempts that may still answer the request; the stalled one first, as it only backs the other. */
+    /** Returns the attempts that may still answer the request; the earlier one first, as it only backs the other. */
     private List<UpstreamAttempt> openAttempts() {
         return closed
                 ? List.of()
-                : Stream.of(stalledAttempt, attempt).filter(Objects::nonNull).toList();
+                : Stream.of(earlierAttempt, attempt).filter(Objects::nonNull).toList();
     }
 
     public String service() {
         return service;
     }
 
+    /** Returns the time until the deadline, at least a millisecond. */
+    Duration remaining(long nowNanos) {
+        return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - nowNanos));
+    }
+
     boolean callerConnected() {
         return writer.connected();
     }
@@ -466,13 +497,19 @@
      * @param upstreamFull whether the upstream refused the request because it is full
      */
     void onAttemptFailed(UpstreamAttempt failed, Verdict verdict, String reason, boolean upstreamFull) {
-        if (failed == stalledAttempt) {
-            stalledAttempt = null;
+        if (failed == earlierAttempt) {
+            if (hedge.isOpen()) {
+                hedge.report(HedgeOutcome.FIRST_FAILED, attempt, failed);
+                recordRefusal(failed.upstream(), verdict, upstreamFull);
+                AttemptLog.failed(context, this, hedge.firstNumber(), failed.upstream(), verdict, reason);
+                endHedgedAttempt(verdict, reason);
+            }
+            earlierAttempt = null;
             return;
         }
         recordFailedAttempt(failed.upstream(), verdict, reason, upstreamFull);
-        if (stalledAttempt != null) {
-            resumeStalledAttempt();
+        if (earlierAttempt != null) {
+            resumeEarlierAttempt(HedgeOutcome.FAILED, failed);
             checkStall(context.time().nanoTime());
         } else if (mayRetry(verdict) && mayHaveCrashedUpstream && !context.mayResend(request)) {
             context.loop().schedule(() -> retryOnceCleared(reason), EVIDENCE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
@@ -483,37 +520,18 @@
 
     /** Records a failed attempt, with the other parameters of {@link #onAttemptFailed}. */
     void recordFailedAttempt(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
-        long now = context.time().nanoTime();
         cancelReplacement();
         attempt = null;
         endAttempt(upstream, verdict, reason);
+        recordRefusal(upstream, verdict, upstreamFull);
+        countPossibleRun(verdict == Verdict.MAY_HAVE_RUN);
+        AttemptLog.failed(context, this, attempts, upstream, verdict, reason);
+    }
+
+    private void recordRefusal(Upstream upstream, Verdict verdict, boolean upstreamFull) {
         if (verdict == Verdict.NOT_RUN) {
-            upstream.recordRefusal(now, upstreamFull ? FULL_PAUSE : MISMATCH_PAUSE);
-        } else {
-            possibleRuns++;
-            mayHaveRun = true;
+            upstream.recordRefusal(context.time().nanoTime(), upstreamFull ? FULL_PAUSE : MISMATCH_PAUSE);
         }
-        logFailedAttempt(upstream, verdict, reason);
-    }
-
-    private void logFailedAttempt(Upstream upstream, Verdict verdict, String reason) {
-        context.log()
-                .write(
-                        Event.ATTEMPT_FAILED,
-                        "request",
-                        id(),
-                        "attempt",
-                        attempts,
-                        "upstream",
-                        upstream.id(),
-                        "verdict",
-                        verdict,
-                        "reason",
-                        reason,
-                        "last_event",
-                        lastEventId,
-                        "failure_share",
-                        Math.round(100 * upstream.failureShare()) / 100.0);
     }
 
     /** Sends a request that may have crashed its upstream to another one only if its prompt is known to be harmless. */
@@ -534,9 +552,13 @@
 
     /** Returns whether the request could be sent to another upstream if the current attempt failed. */
     boolean canRetryElsewhere() {
+        return mayBeSentElsewhere() && context.retryAvailable(service);
+    }
+
+    /** Returns the same without regard to the retry budget. */
+    boolean mayBeSentElsewhere() {
         return attempts < MAX_ATTEMPTS
-                && possibleRuns + 1 < route.maxUpstreams()
-                && context.retryAvailable(service)
+                && possibleRuns + (hedge.isOpen() ? 2 : 1) < route.maxUpstreams()
                 && context.hasUntriedUpstream(service, triedUpstreams);
     }
 
@@ -580,7 +602,7 @@
         if (closed) {
             return;
         }
-        boolean sent = attempt != null && attempt.sent();
+        boolean sent = openAttempts().stream().anyMatch(UpstreamAttempt::sent);
         cancelAttempt(sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN, reason);
         if (responseStarted) {
             close();
@@ -629,7 +651,8 @@
     private void close() {
         closed = true;
         cancelReplacement();
-        cancelStalledAttempt();
+        cancelEarlierAttempt("request-ended");
+        hedge.cancelTimer();
         deadlineTimer.cancel(false);
     }
 
@@ -643,17 +666,4 @@
     private String lastUpstream() {
         return attempt == null ? "" : attempt.upstream().id();
     }
-
-    private Forwarding forwarding(Upstream upstream, long now) {
-        Optional<Duration> remaining = Optional.of(Duration.ofNanos(Math.max(1_000_000, deadlineNanos - now)));
-        OptionalInt urgency = isStream() ? OptionalInt.of(rank().urgency()) : OptionalInt.empty();
-        OptionalLong resumeAfter = lastEventId > 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty();
-        return new Forwarding(
-                upstream.id(),
-                remaining,
-                customer.map(Customer::name),
-                urgency,
-                request.generation().isPresent() ? upstream.servedVersion() : OptionalLong.empty(),
-                isStream() ? resumeAfter : request.resumeAfter());
-    }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -6,8 +6,11 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.masticcroft.gateway.config.Route;
+import org.masticcroft.gateway.dispatch.QueuedRequest;
 import org.masticcroft.gateway.dispatch.Upstream;
+import org.masticcroft.gateway.hedge.HedgePolicy;
 import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
@@ -65,6 +68,26 @@
     /** Takes a retry from the retry budget of a service; returns false if the budget is spent. */
     boolean tryRetry(String service);
 
+    /** Returns the policy by which requests are hedged. */
+    HedgePolicy hedging();
+
+    /**
+     * Dispatches the hedge of a request at once if no other request waits for its service.
+     *
+     * @param worthwhile whether the upstream that was chosen is worth a hedge
+     * @return whether the hedge was dispatched
+     */
+    boolean dispatchHedge(Exchange exchange, Predicate<QueuedRequest.Choice> worthwhile);
+
+    /** Is called when a hedge was sent, was refused by a budget, or has won or lost. */
+    void onHedge(Exchange exchange, HedgeOutcome outcome);
+
+    /**
+     * Returns whether a request may crash its upstream: one crashed on it or on a part of its prompt, or a part was
+     * never answered.
+     */
+    boolean suspected(CallerRequest request);
+
     /** Returns whether a service has an upstream that accepts requests and was not tried yet. */
     boolean hasUntriedUpstream(String service, Set<String> triedUpstreams);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.http.Call;
@@ -54,7 +55,7 @@
         this.events = EventReader.after(exchange.lastEventId());
     }
 
-    static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream, Forwarding forwarding) {
+    static UpstreamAttempt send(Exchange exchange, ExchangeContext context, Upstream upstream) {
         UpstreamAttempt attempt = new UpstreamAttempt(exchange, context, upstream);
         upstream.recordSend(exchange.promptTokens(), attempt.startNanos);
         // If the upstream closes a reused connection while the request is on its way, it is unknown whether the request
@@ -64,12 +65,24 @@
         attempt.call = context.httpClient()
                 .send(
                         upstream.listing().address(),
-                        context.dialect().encode(exchange.request(), forwarding),
+                        context.dialect().encode(exchange.request(), attempt.forwarding()),
                         maxReuseIdleTime,
                         attempt);
         return attempt;
     }
 
+    private Forwarding forwarding() {
+        OptionalLong resumeAfter =
+                exchange.lastEventId() > 0 ? OptionalLong.of(exchange.lastEventId()) : OptionalLong.empty();
+        return new Forwarding(
+                upstream.id(),
+                Optional.of(exchange.remaining(startNanos)),
+                Optional.of(exchange.customer()).filter(name -> !name.isEmpty()),
+                exchange.isStream() ? OptionalInt.of(exchange.rank().urgency()) : OptionalInt.empty(),
+                exchange.request().generation().isPresent() ? weightsVersion : OptionalLong.empty(),
+                exchange.isStream() ? resumeAfter : exchange.request().resumeAfter());
+    }
+
     Upstream upstream() {
         return upstream;
     }
@@ -161,6 +174,9 @@
         recordByte();
         recordProgress();
         head = context.dialect().decode(response);
+        if (!exchange.isStream() && head.success()) {
+            exchange.recordTimeToFirstByte(age());
+        }
         headers = context.dialect().forwardedHeaders(response);
         mediaType = Optional.ofNullable(HttpUtil.getMimeType(response))
                 .map(type -> type.toString().toLowerCase(Locale.ROOT));
@@ -270,7 +286,7 @@
     }
 
     /** Returns whether the upstream survived the start of the request, so that the request did not crash it. */
-    private boolean responseBegun() {
+    boolean responseBegun() {
         return exchange.isStream() ? firstByteReceived : head != null;
     }
 
@@ -335,7 +351,7 @@
         upstream.recordFailure(context.time().nanoTime());
         boolean unsigned = head.status() / 100 == 2;
         if (exchange.responseStarted()
-                || exchange.hasStalledAttempt()
+                || exchange.otherMayAnswer(head.status())
                 || unsigned
                 || impliesNotRun(head.status())
                 || (head.status() >= 500 && exchange.canRetryElsewhere())) {
@@ -347,6 +363,7 @@
 
     private void forwardBody() {
         ByteBuf content = body.take();
+        exchange.choose(this);
         close();
         exchange.forwardResponse(head, headers, content);
     }
@@ -379,6 +396,7 @@
     private void recordFirstByte() {
         if (!firstByteReceived) {
             firstByteReceived = true;
+            exchange.recordTimeToFirstByte(age());
             upstream.recordFirstByte(
                     exchange.promptTokens(), startNanos, context.time().nanoTime());
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/metrics/RequestMetrics.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/metrics/RequestMetrics.java
@@ -64,6 +64,11 @@
                 reason.isEmpty() ? SERVED : reason));
     }
 
+    /** Records that a hedge of a service was sent or refused, or how it ended. */
+    public void hedge(String service, String outcome) {
+        metrics.count(Series.of("masticcroft_hedges_total", "service", service, "outcome", outcome));
+    }
+
     private static String kindLabel(RouteKind kind) {
         return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -21,6 +22,7 @@
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
+import org.masticcroft.gateway.dispatch.QueuedRequest;
 import org.masticcroft.gateway.dispatch.ServiceQueue;
 import org.masticcroft.gateway.dispatch.Upstream;
 import org.masticcroft.gateway.dispatch.UpstreamChooser;
@@ -29,6 +31,7 @@
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeContext;
 import org.masticcroft.gateway.exchange.ExchangeOutcome;
+import org.masticcroft.gateway.exchange.HedgeOutcome;
 import org.masticcroft.gateway.exchange.InitialDeadlineEstimator;
 import org.masticcroft.gateway.exchange.ResponseMemory;
 import org.masticcroft.gateway.exchange.ResponseTimes;
@@ -38,6 +41,7 @@
 import org.masticcroft.gateway.fleet.NamedVersions;
 import org.masticcroft.gateway.fleet.StoreFreshness;
 import org.masticcroft.gateway.generated.CrashEvidence;
+import org.masticcroft.gateway.hedge.HedgePolicy;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.CallFailure;
 import org.masticcroft.gateway.http.CallerRequest;
@@ -122,6 +126,7 @@
     private final PromptPartSuspects promptParts = PromptPartSuspects.empty();
     private final ResponseTimes responseTimes = ResponseTimes.empty();
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
+    private final HedgePolicy hedging;
     private Set<Long> loggedQuarantine = Set.of();
     private boolean evidenceRequested;
     private final Random random;
@@ -135,6 +140,8 @@
         this.log = dependencies.log();
         this.httpClient = dependencies.httpClient();
         this.random = dependencies.random();
+        this.hedging = HedgePolicy.of(
+                settings.bounds().hedgingShare(), settings.bounds().retryWindow(), time);
         this.metrics = ProcessMetrics.empty();
         this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
         this.upstreams = UpstreamTable.of(log);
@@ -352,6 +359,7 @@
     public void onStarted(Exchange exchange, String service) {
         openExchanges.add(exchange);
         budget(service).recordFirstAttempt(time.nanoTime());
+        hedging.recordRequest(service);
     }
 
     @Override
@@ -374,6 +382,29 @@
         return budget(service).tryAcquire(time.nanoTime());
     }
 
+    @Override
+    public HedgePolicy hedging() {
+        return hedging;
+    }
+
+    @Override
+    public boolean dispatchHedge(Exchange exchange, Predicate<QueuedRequest.Choice> worthwhile) {
+        String service = exchange.service();
+        return queue(service).dispatchHedge(exchange, profile(service), versionLimit(service), worthwhile);
+    }
+
+    @Override
+    public void onHedge(Exchange exchange, HedgeOutcome outcome) {
+        recorder.hedge(exchange, outcome);
+    }
+
+    @Override
+    public boolean suspected(CallerRequest request) {
+        return !promptParts.mayResend(request.sharedParts())
+                || promptParts.anySuspected(request.sharedParts())
+                || suspects.suspected(request.fingerprint(), time.nanoTime());
+    }
+
     @Override
     public boolean hasUntriedUpstream(String service, Set<String> tried) {
         long now = time.nanoTime();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -63,9 +63,15 @@
      * @param grace time from the request to stop until the platform ends the process
      * @param retryShare largest ratio of retries to requests in a window
      * @param retryWindow length of the window
+     * @param hedgingShare largest ratio of hedges to requests in the same window; 0 disables hedging
      */
     public record Bounds(
-            Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
+            Duration revocation,
+            Duration versionChange,
+            Duration grace,
+            double retryShare,
+            Duration retryWindow,
+            double hedgingShare) {
         /**
          * Time before the bound on version changes at which engines of an older version get no new requests, because a
          * request may still wait in the queue of an engine.
@@ -78,6 +84,12 @@
         /** Fraction of the grace period at whose end open requests may be ended. */
         private static final int GRACE_END_DIVISOR = 6;
 
+        /** Creates bounds that disable hedging. */
+        public Bounds(
+                Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
+            this(revocation, versionChange, grace, retryShare, retryWindow, 0);
+        }
+
         /** Returns the time from the request to stop until the requests that are still open are ended. */
         public Duration openRequestsEnd() {
             Duration graceEnd = grace.dividedBy(GRACE_END_DIVISOR);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestRecorder.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestRecorder.java
@@ -9,6 +9,7 @@
 import org.masticcroft.gateway.config.GatewayConfig;
 import org.masticcroft.gateway.exchange.Exchange;
 import org.masticcroft.gateway.exchange.ExchangeOutcome;
+import org.masticcroft.gateway.exchange.HedgeOutcome;
 import org.masticcroft.gateway.fleet.StoreFreshness;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.log.DecisionLog;
@@ -52,6 +53,11 @@
         metrics.attemptEnded(upstream, reason);
     }
 
+    /** Records what became of a hedge. */
+    void hedge(Exchange exchange, HedgeOutcome outcome) {
+        metrics.hedge(exchange.service(), outcome.label());
+    }
+
     /** Records the end of a request that was matched to a route. */
     void ended(Exchange exchange, ExchangeOutcome end) {
         Duration duration = time.since(exchange.arrivalNanos());
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -77,6 +77,28 @@
         queue.dispatchWaiting(PROFILE, VersionLimit.none());
     }
 
+    @Nested
+    class AHedge {
+        private boolean dispatched() {
+            return queue.dispatchHedge(request("hedge", new Rank(0, 0)), PROFILE, VersionLimit.none(), choice -> true);
+        }
+
+        // Guards against a hedge that queues in a full engine, or takes the capacity that others wait for.
+        @Test
+        void isDispatchedToAFreeSlotWhileNoRequestWaits() {
+            list("e1", "10.0.0.1", "z1", 1, false);
+            assertThat(dispatched()).isTrue();
+            while (add("filling", 2).choice.isPresent()) {
+                assertThat(queue.size()).isZero();
+            }
+            list("e2", "10.0.0.2", "z1", 1, false);
+            assertThat(dispatched()).isFalse();
+            queue.dispatchWaiting(PROFILE, VersionLimit.none());
+            assertThat(dispatched()).isTrue();
+            assertThat(dispatched()).isFalse();
+        }
+    }
+
     @Nested
     class Order {
         // Guards against urgent requests that wait behind less urgent ones which arrived earlier.
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -37,6 +37,10 @@
     STREAM_RESUMED(1226, "A stream continues on another upstream; the token position is given."),
     REPLY_REJECTED(1227, "A reply of a sidecar does not belong to the open attempt, is out of order or incomplete."),
     UPSTREAM_PAUSED(1228, "An upstream wants no requests from this process for a time, which is given."),
+    HEDGE_SENT(1232, "A request without a first byte was sent to a second upstream; delay and prediction are given."),
+    HEDGE_DECIDED(
+            1233, "One of two open attempts won; its upstream and the one whose attempt was cancelled are given."),
+    HEDGE_REFUSED(1234, "A hedge was due and not sent because a budget is spent; the budget is given."),
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
