--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -65,6 +65,7 @@
      * @param retryWindow length of the window
      * @param coldOver ratio of the requests that a cold upstream may receive in a second to those that it tolerates
      * @param coldSlack requests that a cold upstream may receive in a second beyond that
+     * @param hedgingShare largest ratio of hedges to requests in the same window; 0 disables hedging
      */
     public record Bounds(
             Duration revocation,
@@ -73,7 +74,8 @@
             double retryShare,
             Duration retryWindow,
             double coldOver,
-            double coldSlack) {
+            double coldSlack,
+            double hedgingShare) {
         /**
          * Time before the bound on version changes at which engines of an older version get no new requests, because a
          * request may still wait in the queue of an engine.
@@ -86,10 +88,10 @@
         /** Fraction of the grace period at whose end open requests may be ended. */
         private static final int GRACE_END_DIVISOR = 6;
 
-        /** Creates bounds under which a cold upstream never receives more requests than it tolerates. */
+        /** Creates bounds without hedging under which a cold upstream never receives more than it tolerates. */
         public Bounds(
                 Duration revocation, Duration versionChange, Duration grace, double retryShare, Duration retryWindow) {
-            this(revocation, versionChange, grace, retryShare, retryWindow, 1, 0);
+            this(revocation, versionChange, grace, retryShare, retryWindow, 1, 0, 0);
         }
 
         /** Returns the time from the request to stop until the requests that are still open are ended. */
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -46,6 +46,10 @@
             1229, "An upstream is cold and gets few requests; the cause and the stated number of entries are given."),
     UPSTREAM_WARM(1230, "An upstream is no longer cold."),
     ENGINE_MEMORY_FULL(1231, "The memory of an engine has no room for a request; the tokens are given, once a second."),
+    HEDGE_SENT(1232, "A request without a first byte was sent to a second upstream; delay and prediction are given."),
+    HEDGE_DECIDED(
+            1233, "One of two open attempts won; its upstream and the one whose attempt was cancelled are given."),
+    HEDGE_REFUSED(1234, "A hedge was due and not sent because a budget is spent; the budget is given."),
     LEASE_ACQUIRED(1300, "The sidecar holds the newest lease of its upstream; the fencing number is given."),
     LEASE_SUPERSEDED(1301, "A newer lease exists; the sidecar gives no further orders."),
     PLACEMENT_DECISION(1302, "A version is to be fetched, loaded or unloaded on an upstream."),
