Take the number of entries as unknown without reports of any sidecar

Cause: an entry that is out of touch with the sidecars for longer than a subscription lasts is no longer counted, but went on with its share while the others took larger ones. Change: without a report of any sidecar for 2 s the number is unknown.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
@@ -72,7 +72,7 @@
         if (!sent.cold) {
             return PlacementDecision.ALLOWED;
         }
-        OptionalInt stated = table.statedEntries();
+        OptionalInt stated = table.statedEntries(nowNanos);
         if (stated.isEmpty() && othersServe(request, upstream, nowNanos)) {
             return PlacementDecision.COLD_RATE_REACHED;
         }
@@ -99,7 +99,7 @@
         metrics.gauge(Series.of("masticcroft_upstreams_cold"), () -> cold(time.nanoTime()));
         metrics.gauge(
                 Series.of("masticcroft_entries_stated"),
-                () -> table.statedEntries().orElse(0));
+                () -> table.statedEntries(time.nanoTime()).orElse(0));
         metrics.gauge(Series.of("masticcroft_requests_to_cold_upstreams_total"), () -> sentWhileCold);
     }
 
@@ -119,7 +119,7 @@
 
     private void logState(Upstream upstream, boolean cold, long nowNanos) {
         if (cold) {
-            OptionalInt stated = table.statedEntries();
+            OptionalInt stated = table.statedEntries(nowNanos);
             log.write(
                     Event.UPSTREAM_COLD,
                     "upstream",
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -182,9 +182,14 @@
         return report == null ? OptionalLong.empty() : OptionalLong.of((nowNanos - reportNanos) / 1_000_000);
     }
 
+    /** Returns whether a load report was received within the given time. */
+    boolean reportedWithin(Duration age, long nowNanos) {
+        return report != null && nowNanos - reportNanos < age.toNanos();
+    }
+
     /** Returns whether a recent load report shows that the process of the upstream is alive. */
     public boolean reportedAlive(long nowNanos) {
-        return report != null && nowNanos - reportNanos < MAX_ALIVE_REPORT_AGE.toNanos();
+        return reportedWithin(MAX_ALIVE_REPORT_AGE, nowNanos);
     }
 
     /**
@@ -394,6 +399,6 @@
     }
 
     private boolean reportIsFresh(long nowNanos) {
-        return report != null && nowNanos - reportNanos < MAX_REPORT_AGE.toNanos();
+        return reportedWithin(MAX_REPORT_AGE, nowNanos);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -20,6 +20,12 @@
     /** Time for which the state of a removed upstream is kept; longer than any request runs. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(15);
 
+    /**
+     * Time without a report of any sidecar after which they may no longer count this entry. A subscription lasts 3.5 s,
+     * and the last one may have been sent a second before the last report.
+     */
+    private static final Duration MAX_SILENCE = Duration.ofMillis(2000);
+
     private final DecisionLog log;
     private final Map<String, Upstream> byId = new HashMap<>();
 
@@ -48,15 +54,20 @@
         return byId.values().stream().filter(upstream -> !upstream.removed()).toList();
     }
 
-    /** Returns the largest number of entries that any sidecar states; empty if none states it. */
-    OptionalInt statedEntries() {
+    /**
+     * Returns the largest number of entries that any sidecar states. Empty if none states it, or if no sidecar has sent
+     * a report for so long that this entry may no longer be counted.
+     */
+    OptionalInt statedEntries(long nowNanos) {
         int entries = 0;
+        boolean inTouch = false;
         for (Upstream upstream : byId.values()) {
             if (!upstream.removed()) {
                 entries = Math.max(entries, upstream.entries().orElse(0));
+                inTouch |= upstream.reportedWithin(MAX_SILENCE, nowNanos);
             }
         }
-        return entries == 0 ? OptionalInt.empty() : OptionalInt.of(entries);
+        return inTouch && entries > 0 ? OptionalInt.of(entries) : OptionalInt.empty();
     }
 
     /** Adds an upstream, or updates its listing. An upstream whose process was restarted starts with a new state. */
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -30,12 +31,18 @@
     private static final Address COLD_ADDRESS = new Address("10.0.0.1", 80);
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final int RUN_STEPS = 6000;
+    private static final int REPORT_STEPS = 500;
+
+    /** Latest arrival of a request after its send; a connection may have to be established first. */
+    private static final int MAX_LATE_MILLIS = 99;
 
     private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
     private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
     private final List<Entry> fleet = new ArrayList<>();
     private final List<Long> arrivals = new ArrayList<>();
     private Limits limits = new Limits(26, 1.5, 5);
+    private final Random lateness = new Random(7);
+    private int maxLateMillis;
     private long now;
 
     @AfterEach
@@ -58,7 +65,10 @@
             table.put(new UpstreamListing(id, "s", address, "z1", 12, false, 1, OptionalLong.of(1)), coldTime, now);
         }
 
+        private int stated;
+
         private void report(int entries) {
+            stated = entries > 0 ? entries : stated;
             table.applyReport(
                     COLD_ADDRESS, new LoadReport(1, 0, 0, false, false, OptionalLong.of(1), 1, entries, 0), now);
         }
@@ -69,7 +79,7 @@
             for (Upstream upstream : table.listed()) {
                 if (upstream.id().equals("cold") && rule.check(request, upstream, now) == PlacementDecision.ALLOWED) {
                     rule.onSend(request, upstream, now);
-                    arrivals.add(now);
+                    arrivals.add(now + TimeUnit.MILLISECONDS.toNanos(lateness.nextInt(maxLateMillis + 1)));
                 }
             }
         }
@@ -86,6 +96,9 @@
     /** Lets each entry try to send in each step in which the predicate holds for its index. */
     private void run(int steps, IntPredicate demand) {
         for (int step = 0; step < steps; step++) {
+            if (step % REPORT_STEPS == 0) {
+                fleet.stream().filter(entry -> entry.stated > 0).forEach(entry -> entry.report(entry.stated));
+            }
             for (int i = 0; i < fleet.size(); i++) {
                 if (demand.test(i)) {
                     fleet.get(i).trySend();
@@ -96,6 +109,7 @@
     }
 
     private int mostInAnySecond() {
+        Collections.sort(arrivals);
         int most = 0;
         int first = 0;
         for (int last = 0; last < arrivals.size(); last++) {
@@ -119,6 +133,7 @@
             start(entries, COLD_TIME);
             fleet.forEach(entry -> entry.report(entries));
             double demand = random.nextBoolean() ? 1 : 0.002;
+            maxLateMillis = random.nextBoolean() ? MAX_LATE_MILLIS : 0;
             run(RUN_STEPS, i -> random.nextDouble() < demand);
             assertThat((double) mostInAnySecond()).isLessThanOrEqualTo(limits.bound());
         }
@@ -145,6 +160,21 @@
             assertThat((double) mostInAnySecond()).isLessThanOrEqualTo(limits.bound());
         }
 
+        /**
+         * Guards against entries that keep to a share of earlier times: half of twenty have been out of touch with the
+         * sidecars until they are no longer counted, and the others take larger shares.
+         */
+        @Test
+        void keepTheBoundWhileSomeAreOutOfTouch() {
+            start(20, COLD_TIME);
+            fleet.forEach(entry -> entry.report(20));
+            fleet.subList(0, 10).forEach(entry -> entry.stated = 0);
+            run(3400, i -> false);
+            fleet.subList(10, 20).forEach(entry -> entry.stated = 10);
+            run(RUN_STEPS, i -> true);
+            assertThat((double) mostInAnySecond()).isLessThanOrEqualTo(limits.bound());
+        }
+
         /** Guards against a burst while all upstreams are cold and no sidecar states the number of entries yet. */
         @ParameterizedTest
         @ValueSource(ints = {1, 16, 20, 41})
