Bound what callers make a process hold

Cause: an entry kept every arriving request, read on while requests and responses waited, and accepted connections up to the limit of the descriptors. Small chunks were merged again and again in a composite buffer.

RequestMemory counts the cost of requests from the first byte to the end of the response and refuses the largest arriving one with 503 and Retry-After; ArrivingRequest copies bodies into one growing array. UnreadResponses closes the connection with most unread bytes, and UpstreamAttempt stops reading from the engine while the caller does not read. ConnectionBudget closes the connection that was unused the longest. A body that stops gets 408 after 10 s. A connection is not read while a request waits on it behind another one.

--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -0,0 +1,63 @@
+package org.masticcroft.gateway.config;
+
+import com.sun.management.UnixOperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Budgets of a process for what its callers make it hold, over all connections.
+ *
+ * @param requestBytes memory for requests that are arriving, queued or being served
+ * @param unreadBytes memory for responses that their callers have not read
+ * @param connections connections of callers
+ * @param bodyTimeout longest time for which a body that has begun may stop arriving
+ */
+public record CallerBudgets(long requestBytes, long unreadBytes, int connections, Duration bodyTimeout) {
+    /** Fraction of the heap for requests, as a divisor; six of the largest legal bodies at a heap of 96 MB. */
+    private static final int REQUESTS_DIVISOR = 4;
+
+    /** Fraction of the heap size for unread responses, as a divisor; most of them wait outside of the heap. */
+    private static final int UNREAD_DIVISOR = 8;
+
+    /** Fraction of the descriptors for connections of callers; most of the others are left for upstreams. */
+    private static final double CONNECTIONS_SHARE = 0.625;
+
+    /** Longer than a short loss of the caller's link, shorter than the usual idle timeout of 15 s. */
+    private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Descriptors that are assumed if the limit of the process is unknown. */
+    private static final long UNKNOWN_DESCRIPTORS = 1024;
+
+    private static final int MAX_CONNECTIONS = 65_536;
+
+    /** Requires positive values. */
+    public CallerBudgets {
+        Objects.requireNonNull(bodyTimeout, "bodyTimeout");
+        if (requestBytes <= 0 || unreadBytes <= 0 || connections <= 0 || bodyTimeout.isNegative()) {
+            throw new IllegalArgumentException("budgets must be positive");
+        }
+    }
+
+    /** Returns the budgets for the heap and the descriptors of this process. */
+    public static CallerBudgets ofProcess() {
+        long descriptors = ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
+                ? system.getMaxFileDescriptorCount()
+                : UNKNOWN_DESCRIPTORS;
+        return of(Runtime.getRuntime().maxMemory(), descriptors);
+    }
+
+    /** Returns budgets that no caller reaches. */
+    public static CallerBudgets unbounded() {
+        return new CallerBudgets(Long.MAX_VALUE, Long.MAX_VALUE, MAX_CONNECTIONS, Duration.ofDays(1));
+    }
+
+    /** Returns the budgets for a heap of the given size in bytes and a limit of the file descriptors. */
+    static CallerBudgets of(long heapBytes, long descriptors) {
+        return new CallerBudgets(
+                heapBytes / REQUESTS_DIVISOR,
+                heapBytes / UNREAD_DIVISOR,
+                (int) Math.min(MAX_CONNECTIONS, Math.max(1, (long) (descriptors * CONNECTIONS_SHARE))),
+                BODY_TIMEOUT);
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -440,6 +440,11 @@
         writer.writeChunk(content);
     }
 
+    /** Has an action run once the caller has read enough; returns false if it keeps up. */
+    boolean awaitCaller(Runnable action) {
+        return writer.awaitWritable(action);
+    }
+
     /** Completes a streamed response. */
     void endResponse() {
         endAttempt(attempt.upstream(), Verdict.RAN, "");
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -41,6 +41,7 @@
     private boolean firstByteReceived;
     private boolean eventReceived;
     private boolean closed;
+    private boolean paused;
     private long lastProgressNanos;
 
     private UpstreamAttempt(Exchange exchange, ExchangeContext context, Upstream upstream) {
@@ -89,10 +90,11 @@
 
     /**
      * Returns the time since the response last made progress, or since the request was sent. A stream makes progress
-     * with each complete event, any other response with each byte.
+     * with each complete event, any other response with each byte. A response that its caller does not read makes the
+     * progress that it can.
      */
     Duration timeSinceProgress(long nowNanos) {
-        return Duration.ofNanos(nowNanos - lastProgressNanos);
+        return paused ? Duration.ZERO : Duration.ofNanos(nowNanos - lastProgressNanos);
     }
 
     /** Cancels the attempt without reporting a failure to the exchange. */
@@ -285,6 +287,16 @@
             exchange.startResponse(head.status(), headers, mediaType);
         }
         exchange.forwardChunk(completeEvents);
+        if (!paused && exchange.awaitCaller(this::resumeReading)) {
+            paused = true;
+            call.pauseReading();
+        }
+    }
+
+    private void resumeReading() {
+        paused = false;
+        recordProgress();
+        call.resumeReading();
     }
 
     private void addToBody(ByteBuf content) {
--- /dev/null
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
@@ -0,0 +1,106 @@
+package org.masticcroft.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.Arrays;
+import java.util.Map;
+
+/**
+ * A request that is being read. The body is copied into one array that grows, because the buffers of many small chunks
+ * use far more memory than their content. Used on the event loop only.
+ */
+final class ArrivingRequest {
+    private static final byte[] EMPTY = {};
+
+    /** Size of the first array, unless the announced length is smaller. */
+    private static final int INITIAL_BYTES = 4096;
+
+    /** Memory of a request without its headers and body: objects of the connection, the decoder and the exchange. */
+    private static final int REQUEST_COST_BYTES = 2048;
+
+    /** Memory of a header without its text: an entry and two strings with an array each. */
+    private static final int HEADER_COST_BYTES = 160;
+
+    /** Memory per byte of a head that is not complete: the shortest header lines use that much. */
+    private static final int HEAD_COST_FACTOR = 32;
+
+    private final RequestMemory.Reservation memory;
+    private final int maxBodyBytes;
+    private HttpRequest head;
+    private long headCostBytes;
+    private byte[] body = EMPTY;
+    private int length;
+
+    /**
+     * Creates a request of which nothing was read.
+     *
+     * @param memory memory of the request
+     * @param maxBodyBytes largest body that is accepted
+     */
+    ArrivingRequest(RequestMemory.Reservation memory, int maxBodyBytes) {
+        this.memory = memory;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    HttpRequest head() {
+        return head;
+    }
+
+    /** Returns the number of body bytes read so far. */
+    int length() {
+        return length;
+    }
+
+    /** Accounts for a part of a head of the given size; returns false if the request was refused because of that. */
+    boolean headPart(int headBytes) {
+        return memory.resize(REQUEST_COST_BYTES + (long) headBytes * HEAD_COST_FACTOR);
+    }
+
+    /** Sets the head; returns false if the request was refused because of its size. */
+    boolean headEnded(HttpRequest request) {
+        head = request;
+        headCostBytes = REQUEST_COST_BYTES + request.uri().length();
+        for (Map.Entry<String, String> header : request.headers()) {
+            headCostBytes += HEADER_COST_BYTES
+                    + header.getKey().length()
+                    + header.getValue().length();
+        }
+        return memory.resize(headCostBytes);
+    }
+
+    /** Adds a part of the body, which must not exceed the limit; returns false if the request was refused. */
+    boolean add(ByteBuf content) {
+        int newLength = length + content.readableBytes();
+        if (newLength > body.length) {
+            int capacity = capacity(newLength);
+            if (!memory.resize(headCostBytes + capacity)) {
+                return false;
+            }
+            body = Arrays.copyOf(body, capacity);
+        }
+        content.getBytes(content.readerIndex(), body, length, content.readableBytes());
+        length = newLength;
+        return true;
+    }
+
+    private int capacity(int needed) {
+        long announced = HttpUtil.getContentLength(head, (long) maxBodyBytes);
+        int limit = (int) Math.max(needed, Math.min(announced, maxBodyBytes));
+        return Math.min(limit, Math.max(Math.max(INITIAL_BYTES, needed), 2 * body.length));
+    }
+
+    /** Returns the complete body. The memory stays reserved until it is released. */
+    byte[] complete() {
+        byte[] complete = length == body.length ? body : Arrays.copyOf(body, length);
+        body = EMPTY;
+        memory.complete(headCostBytes + complete.length);
+        return complete;
+    }
+
+    /** Releases the memory of the request. */
+    void release() {
+        body = EMPTY;
+        memory.release();
+    }
+}
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -225,6 +225,7 @@
     private void end() {
         ResponseListener finished = listener;
         listener = null;
+        context.channel().config().setAutoRead(true);
         if (wasReset) {
             finished.onFailure(CallFailure.RESET);
             return;
@@ -280,6 +281,20 @@
             return true;
         }
 
+        @Override
+        public void pauseReading() {
+            if (listener == callListener) {
+                context.channel().config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void resumeReading() {
+            if (listener == callListener) {
+                context.channel().config().setAutoRead(true);
+            }
+        }
+
         @Override
         public void cancel() {
             if (listener == callListener) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -33,6 +33,9 @@
     /** Interval at which connections that exceed the idle timeout are closed. */
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
 
+    /** Fraction of the budget of connections that is accepted at once, as a divisor. */
+    private static final int ACCEPT_DIVISOR = 8;
+
     private static final int MAX_INITIAL_LINE_BYTES = 16_384;
 
     /** Bound of a request head before a configuration states one, and for connections accepted before that. */
@@ -42,6 +45,7 @@
     private final TimeSource time;
     private final InputClock inputs;
     private final RequestHandler handler;
+    private final CallerPressure pressure;
     private final Supplier<CallerLimits> limits;
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Deque<ServerConnection> arrivals = new ArrayDeque<>();
@@ -51,7 +55,13 @@
     private boolean listenerClosing;
 
     private HttpServer(
-            EventLoop loop, TimeSource time, InputClock inputs, Supplier<CallerLimits> limits, RequestHandler handler) {
+            EventLoop loop,
+            TimeSource time,
+            InputClock inputs,
+            Supplier<CallerLimits> limits,
+            CallerPressure pressure,
+            RequestHandler handler) {
+        this.pressure = pressure;
         this.loop = loop;
         this.time = time;
         this.inputs = inputs;
@@ -66,7 +76,7 @@
     }
 
     /**
-     * Creates a server that calls the handler for each request.
+     * Creates a server that calls the handler for each request, without budgets; callers are trusted.
      *
      * @param loop event loop
      * @param time time source
@@ -76,11 +86,32 @@
      */
     public static HttpServer of(
             EventLoop loop, TimeSource time, InputClock inputs, Supplier<CallerLimits> limits, RequestHandler handler) {
+        return of(loop, time, inputs, limits, CallerPressure.unbounded(), handler);
+    }
+
+    /**
+     * Creates a server that shares its budgets with others.
+     *
+     * @param loop event loop
+     * @param time time source
+     * @param inputs bounds when a request has arrived
+     * @param limits limits of the callers, which may change
+     * @param pressure owner of what the callers make the process hold
+     * @param handler handler of the requests
+     */
+    public static HttpServer of(
+            EventLoop loop,
+            TimeSource time,
+            InputClock inputs,
+            Supplier<CallerLimits> limits,
+            CallerPressure pressure,
+            RequestHandler handler) {
         return new HttpServer(
                 Objects.requireNonNull(loop, "loop"),
                 Objects.requireNonNull(time, "time"),
                 Objects.requireNonNull(inputs, "inputs"),
                 Objects.requireNonNull(limits, "limits"),
+                Objects.requireNonNull(pressure, "pressure"),
                 Objects.requireNonNull(handler, "handler"));
     }
 
@@ -159,8 +190,14 @@
         return time;
     }
 
+    CallerPressure pressure() {
+        return pressure;
+    }
+
     void remove(ServerConnection connection) {
         connections.remove(connection);
+        pressure.connections().remove(connection);
+        pressure.unread().remove(connection);
     }
 
     /** Has the next request of a connection handled once all input of this turn of the event loop was read. */
@@ -194,9 +231,13 @@
         }
     }
 
-    /** Accepts all established connections in one turn of the event loop, so that none waits for a later one. */
-    private static RecvByteBufAllocator acceptAll() {
-        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG);
+    /**
+     * Accepts all established connections in one turn of the event loop, so that none waits for a later one, but not so
+     * many that the connections over the budget use up the descriptors before they are closed.
+     */
+    private RecvByteBufAllocator acceptAll() {
+        int atOnce = Math.max(1, pressure.connections().limit() / ACCEPT_DIVISOR);
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Math.min(BACKLOG, atOnce));
     }
 
     InputClock inputs() {
@@ -211,13 +252,16 @@
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits().maxHeaderBytes()));
         channel.pipeline().addLast(connection.headTimer(), new HttpServerCodec(config), connection);
+        pressure.connections().add(connection);
     }
 
     private void closeExpired() {
         CallerLimits current = limits();
+        Duration bodyTimeout = pressure.budgets().bodyTimeout();
         for (ServerConnection connection : new ArrayList<>(connections)) {
             connection.closeIfIdleLongerThan(current.idleTimeout());
             connection.rejectIfHeadTakesLongerThan(current.headerTimeout());
+            connection.rejectIfBodyStopsLongerThan(bodyTimeout);
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
@@ -188,6 +188,20 @@
             return running != null;
         }
 
+        @Override
+        public void pauseReading() {
+            if (running != null) {
+                running.pauseReading();
+            }
+        }
+
+        @Override
+        public void resumeReading() {
+            if (running != null) {
+                running.resumeReading();
+            }
+        }
+
         @Override
         public void cancel() {
             cancelled = true;
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseWriter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseWriter.java
@@ -29,6 +29,12 @@
      */
     boolean connected();
 
+    /**
+     * Has an action run once the caller has read enough of what was written. Returns false
+     * without keeping the action if the caller keeps up.
+     */
+    boolean awaitWritable(Runnable action);
+
     /** Sets the action that runs once if the client disconnects before the response is complete. */
     void onDisconnect(Runnable action);
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -1,8 +1,6 @@
 package org.masticcroft.gateway.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,16 +37,23 @@
 import java.util.concurrent.TimeUnit;
 
 /** One connection of the HTTP server. Pipelined requests are handled one after the other. */
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter
+        implements UnreadResponses.Connection, ConnectionBudget.Connection {
     /** Requests that may wait behind the current one; a small bound, since callers of this gateway do not pipeline. */
     private static final int MAX_PIPELINED = 8;
 
+    /** Most bytes of a head that is not complete that are accounted for; the decoder keeps no more. */
+    private static final int MAX_HEAD_BYTES = 49_152;
+
     /** Separators of a header line. */
     private static final int HEADER_OVERHEAD_BYTES = 4;
 
     /** Time for which the rest of a refused request is read, so that its caller gets the response. */
     private static final long DISCARD_MILLIS = 1000;
 
+    /** Time after which a caller may repeat a request that did not fit into the memory, in seconds. */
+    private static final int RETRY_AFTER_SECONDS = 1;
+
     /** Time since a connection was known to be open from which it is read before its request is sent on. */
     private static final Duration LATE = Duration.ofMillis(50);
 
@@ -57,8 +62,7 @@
     private final long acceptedNanos;
     private final Deque<BufferedRequest> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
-    private HttpRequest head;
-    private CompositeByteBuf body;
+    private ArrivingRequest arriving;
     private final HeadTimer headTimer = new HeadTimer();
     private ConnectionWriter current;
     private long lastActiveNanos;
@@ -87,8 +91,29 @@
         return current != null || !pipelined.isEmpty();
     }
 
+    @Override
+    public boolean inUse() {
+        return busy() && context.channel().isWritable();
+    }
+
+    @Override
+    public long lastActiveNanos() {
+        return lastActiveNanos;
+    }
+
+    @Override
+    public void closeUnused() {
+        context.close();
+    }
+
+    @Override
+    public void closeUnread() {
+        context.close();
+    }
+
     /** Returns the number of bytes that were written to the connection and not passed to the kernel yet. */
-    long unsentBytes() {
+    @Override
+    public long unsentBytes() {
         ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
@@ -105,7 +130,7 @@
 
     private boolean idle(Duration idleFor) {
         return !busy()
-                && head == null
+                && !bodyBegun()
                 && !headTimer.headBegun()
                 && unsentBytes() == 0
                 && server.time().since(lastActiveNanos).compareTo(idleFor) >= 0;
@@ -128,7 +153,30 @@
     }
 
     private boolean inactiveLongerThan(Duration limit) {
-        return !busy() && server.time().since(lastActiveNanos).compareTo(limit) > 0;
+        boolean unread = current == null && !context.channel().isWritable();
+        return (!busy() || unread) && server.time().since(lastActiveNanos).compareTo(limit) > 0;
+    }
+
+    private boolean bodyBegun() {
+        return arriving != null && arriving.head() != null;
+    }
+
+    /** Refuses a request whose body stops before its end, so that it does not hold its memory. */
+    void rejectIfBodyStopsLongerThan(Duration limit) {
+        if (bodyStoppedLongerThan(limit)) {
+            readReceivedBytes();
+            if (bodyStoppedLongerThan(limit)) {
+                server.pressure().recordStalledBody();
+                reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        }
+    }
+
+    /** A body behind a request that waits is not read, so it has not stopped. */
+    private boolean bodyStoppedLongerThan(Duration limit) {
+        return bodyBegun()
+                && pipelined.isEmpty()
+                && server.time().since(lastActiveNanos).compareTo(limit) > 0;
     }
 
     /** Refuses a request whose head arrives too slowly, so that it does not hold the connection. */
@@ -160,7 +208,7 @@
             if (message instanceof HttpRequest request) {
                 startRequest(request);
             }
-            if (message instanceof HttpContent content && head != null) {
+            if (message instanceof HttpContent content && bodyBegun()) {
                 addContent(content);
             }
         } finally {
@@ -171,8 +219,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.remove(this);
-        pipelined.clear();
-        releaseBody();
+        clearPipelined();
+        releaseArriving();
         if (current != null) {
             ConnectionWriter writer = current;
             current = null;
@@ -193,8 +241,9 @@
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
             return;
         }
-        head = request;
-        body = context.alloc().compositeBuffer();
+        if (!arriving().headEnded(request)) {
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -211,37 +260,80 @@
 
     private void addContent(HttpContent content) {
         lastActiveNanos = server.time().nanoTime();
-        if (body.readableBytes() + content.content().readableBytes()
+        if (arriving.length() + content.content().readableBytes()
                 > server.limits().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        body.addComponent(true, content.content().retain());
-        if (content instanceof LastHttpContent) {
+        if (arriving.add(content.content()) && content instanceof LastHttpContent) {
             BufferedRequest request =
-                    new BufferedRequest(head, ByteBufUtil.getBytes(body), headTimer.earliestArrivalNanos());
-            head = null;
+                    new BufferedRequest(arriving, arriving.complete(), headTimer.earliestArrivalNanos());
+            arriving = null;
             headTimer.requestEnded();
-            releaseBody();
             int behindCurrent = current == null ? pipelined.size() - 1 : pipelined.size();
             if (behindCurrent >= MAX_PIPELINED) {
                 closing = true;
+                request.release();
+                updateReading();
                 return;
             }
             pipelined.addLast(request);
+            updateReading();
             server.arrived(this);
         }
     }
 
-    /** Handles the next request unless one is open or the caller has left. */
+    /** Returns the request that is arriving. */
+    private ArrivingRequest arriving() {
+        if (arriving == null) {
+            arriving = new ArrivingRequest(
+                    server.pressure().requests().newReservation(() -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)),
+                    server.limits().maxBodyBytes());
+        }
+        return arriving;
+    }
+
+    private void releaseArriving() {
+        if (arriving != null) {
+            arriving.release();
+            arriving = null;
+        }
+    }
+
+    private void clearPipelined() {
+        pipelined.forEach(BufferedRequest::release);
+        pipelined.clear();
+    }
+
+    /** Stops reading the connection while a request waits on it behind another one, or behind unread responses. */
+    private void updateReading() {
+        boolean waiting =
+                !pipelined.isEmpty() && (current != null || !context.channel().isWritable());
+        context.channel().config().setAutoRead(closing || !waiting);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        server.pressure().unread().written(this);
+        if (ctx.channel().isWritable()) {
+            if (current != null) {
+                current.writableAgain();
+            }
+            handleNext();
+        }
+        updateReading();
+    }
+
+    /** Handles the next request unless one is open, earlier responses are unread or the caller has left. */
     void handleNext() {
-        if (current != null || pipelined.isEmpty() || !readIfLate()) {
+        if (current != null || pipelined.isEmpty() || !context.channel().isWritable() || !readIfLate()) {
             return;
         }
         BufferedRequest request = pipelined.removeFirst();
         current = new ConnectionWriter(request);
+        updateReading();
         try {
-            server.handler().handle(request.head(), request.body(), current);
+            server.handler().handle(request.arrived().head(), request.body(), current);
         } catch (RuntimeException e) {
             exceptionCaught(context, e);
         }
@@ -283,13 +375,16 @@
      */
     private void reject(HttpResponseStatus status) {
         closing = true;
-        head = null;
-        releaseBody();
+        releaseArriving();
+        updateReading();
         if (busy()) {
             return;
         }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
         context.writeAndFlush(response).addListener(sent -> closeOnceCallerHasSent());
     }
 
@@ -302,20 +397,18 @@
         context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void releaseBody() {
-        if (body != null) {
-            body.release();
-            body = null;
+    private record BufferedRequest(ArrivingRequest arrived, byte[] body, long earliestArrivalNanos) {
+        private void release() {
+            arrived.release();
         }
     }
 
-    private record BufferedRequest(HttpRequest head, byte[] body, long earliestArrivalNanos) {}
-
     /** Notes the arrival of the first bytes of a request head, which the decoder keeps until the head is complete. */
     private final class HeadTimer extends ChannelInboundHandlerAdapter {
         private boolean betweenRequests = true;
         private boolean headBegun;
         private long headBegunNanos;
+        private int headBytes;
 
         /** Returns the monotonic time in nanoseconds before which the last request has not arrived. */
         long earliestArrivalNanos() {
@@ -345,24 +438,33 @@
             if (betweenRequests && !headBegun) {
                 headBegun = true;
                 headBegunNanos = ServerConnection.this.earliestArrivalNanos();
+                headBytes = 0;
             }
+            int bytes = ((ByteBuf) message).readableBytes();
             ctx.fireChannelRead(message);
+            if (headBegun && !closing) {
+                headBytes = Math.min(headBytes + bytes, MAX_HEAD_BYTES);
+                arriving().headPart(headBytes);
+            }
         }
     }
 
     /** Writes the response to the current request. */
     private final class ConnectionWriter implements ResponseWriter {
         private final long earliestArrivalNanos;
+        private final BufferedRequest request;
         private final boolean keepAlive;
         private final boolean headRequest;
         private boolean closeAfterResponse;
         private boolean finished;
         private Runnable onDisconnect = () -> {};
+        private Runnable onWritable = () -> {};
 
         private ConnectionWriter(BufferedRequest request) {
+            this.request = request;
             earliestArrivalNanos = request.earliestArrivalNanos();
-            keepAlive = HttpUtil.isKeepAlive(request.head());
-            headRequest = request.head().method().equals(HttpMethod.HEAD);
+            keepAlive = HttpUtil.isKeepAlive(request.arrived().head());
+            headRequest = request.arrived().head().method().equals(HttpMethod.HEAD);
         }
 
         @Override
@@ -416,6 +518,7 @@
                 return;
             }
             context.writeAndFlush(new DefaultHttpContent(content));
+            server.pressure().unread().written(ServerConnection.this);
         }
 
         @Override
@@ -431,10 +534,26 @@
                 finished = true;
                 current = null;
                 closing = true;
+                request.release();
                 context.close();
             }
         }
 
+        @Override
+        public boolean awaitWritable(Runnable action) {
+            if (finished || context.channel().isWritable()) {
+                return false;
+            }
+            onWritable = action;
+            return true;
+        }
+
+        private void writableAgain() {
+            Runnable action = onWritable;
+            onWritable = () -> {};
+            action.run();
+        }
+
         @Override
         public void onDisconnect(Runnable action) {
             onDisconnect = action;
@@ -442,6 +561,7 @@
 
         private void disconnected() {
             finished = true;
+            request.release();
             onDisconnect.run();
         }
 
@@ -462,16 +582,19 @@
         private void finish(HttpObject last) {
             finished = true;
             current = null;
+            request.release();
             lastActiveNanos = server.time().nanoTime();
             if (closeAfterResponse || lastOnConnection()) {
                 closing = true;
-                pipelined.clear();
+                clearPipelined();
                 context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             } else {
                 context.writeAndFlush(last)
                         .addListener(sent -> lastActiveNanos = server.time().nanoTime());
                 handleNext();
             }
+            server.pressure().unread().written(ServerConnection.this);
+            updateReading();
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -40,6 +40,7 @@
 import org.masticcroft.gateway.generated.CrashEvidence;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.CallFailure;
+import org.masticcroft.gateway.http.CallerPressure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpServer;
@@ -48,6 +49,7 @@
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
 import org.masticcroft.gateway.metrics.ProcessMetrics;
@@ -109,6 +111,7 @@
     private final ConfigValidity configValidity;
     private final RequestFilter filter;
     private final UpstreamChooser chooser;
+    private final CallerPressure callerPressure;
     private final HttpServer callerServer;
     private final GracefulStop stop;
     private final HttpServer readinessServer;
@@ -169,10 +172,13 @@
                 datagrams::send,
                 (task, delay) -> loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
         this.chooser = UpstreamChooser.of(settings.zone());
-        this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
+        this.callerPressure = CallerPressure.of(settings.callerBudgets());
+        this.callerServer =
+                HttpServer.of(loop, time, dependencies.inputs(), this::limits, callerPressure, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
-        this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
+        this.readinessServer = HttpServer.of(
+                loop, time, InputClock.immediate(time), CallerLimits::defaults, callerPressure, this::handleReadiness);
         FleetStore store = dependencies.store();
         this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
         this.upstreamsFollower =
@@ -203,6 +209,8 @@
                 .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
+        RepeatingTask.of("caller-pressure", () -> callerPressure.write(log), log)
+                .schedule(loop, SUBSCRIBE_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
         RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
                 .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
         RepeatingTask.of("subscriptions", datagrams::subscribe, log)
@@ -227,6 +235,7 @@
                 () -> storeFreshness.age().toMillis());
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
+        callerPressure.expose(metrics);
         datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import org.masticcroft.gateway.config.CallerBudgets;
 import org.masticcroft.gateway.http.Address;
 
 /**
@@ -21,6 +22,7 @@
  * @param store address of the platform's store
  * @param engine address of the engine beside a sidecar; empty for an entry
  * @param bounds time limits and shares that the operators set
+ * @param callerBudgets budgets for what callers make the process hold
  */
 public record NodeSettings(
         String name,
@@ -34,7 +36,8 @@
         double linkMbitPerSecond,
         Address store,
         Optional<Address> engine,
-        Bounds bounds) {
+        Bounds bounds,
+        CallerBudgets callerBudgets) {
     /** Requires the mandatory values and copies the map. */
     public NodeSettings {
         Objects.requireNonNull(name, "name");
@@ -42,6 +45,7 @@
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(store, "store");
         Objects.requireNonNull(bounds, "bounds");
+        Objects.requireNonNull(callerBudgets, "callerBudgets");
         regions = Map.copyOf(regions);
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -24,7 +24,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.CallerBudgets;
 import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.time.TimeSource;
 
 class HttpServerTest {
@@ -34,12 +36,11 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final HttpServer server = HttpServer.of(
-            loop,
-            TimeSource.system(),
-            () -> LIMITS,
-            (head, body, writer) ->
-                    writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'})));
+    private final HttpServer server = HttpServer.of(loop, TimeSource.system(), () -> LIMITS, (head, body, writer) -> {
+        lastBody = body;
+        writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'}));
+    });
+    private volatile byte[] lastBody;
     private final Address address = new Address("127.0.0.1", freePort());
 
     HttpServerTest() throws IOException {
@@ -127,6 +128,49 @@
         }
     }
 
+    @Nested
+    class Bodies {
+        /** Guards against callers that hold memory with a body that never ends. */
+        @Test
+        void thatStopBeforeTheirEndAreRefused() throws Exception {
+            CallerBudgets budgets = new CallerBudgets(100_000, 100_000, 10, Duration.ofMillis(1500));
+            Address limited = new Address("127.0.0.1", freePort());
+            HttpServer.of(
+                            loop,
+                            TimeSource.system(),
+                            InputClock.immediate(TimeSource.system()),
+                            () -> LIMITS,
+                            CallerPressure.of(budgets),
+                            (head, body, writer) -> {})
+                    .listen(limited);
+            try (Socket socket = new Socket("127.0.0.1", limited.port())) {
+                socket.setSoTimeout(10_000);
+                write(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbod");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+            }
+        }
+
+        /** Guards against bytes that are lost or mixed up where the array of a body grows. */
+        @Test
+        void inSmallChunksArriveWhole() throws Exception {
+            try (Socket socket = connect()) {
+                StringBuilder chunks = new StringBuilder();
+                for (int i = 0; i < 2000; i++) {
+                    chunks.append("1\r\n").append((char) ('a' + i % 26)).append("\r\n");
+                }
+                write(socket, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+                write(socket, chunks + "0\r\n\r\n");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+            }
+            assertThat(lastBody)
+                    .hasSize(2000)
+                    .startsWith((byte) 'a', (byte) 'b')
+                    .endsWith((byte) ('a' + 1999 % 26));
+        }
+    }
+
     @Nested
     class HeadRequests {
         /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
--- a/gateway/src/test/java/org/masticcroft/gateway/weights/RegionTurnsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/weights/RegionTurnsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.CallerBudgets;
 import org.masticcroft.gateway.fleet.FleetChange;
 import org.masticcroft.gateway.fleet.UpstreamListing;
 import org.masticcroft.gateway.generated.HeldPieces;
@@ -46,7 +47,8 @@
                 new Address("127.0.0.1", 1),
                 Optional.empty(),
                 new NodeSettings.Bounds(
-                        Duration.ofSeconds(5), BOUND, Duration.ofSeconds(8), 0.2, Duration.ofSeconds(10)));
+                        Duration.ofSeconds(5), BOUND, Duration.ofSeconds(8), 0.2, Duration.ofSeconds(10)),
+                CallerBudgets.ofProcess());
     }
 
     @AfterEach
