Close connections with an incomplete head that does not fit

Cause: the decoder keeps the part of a head that it has read, and went on reading for a second after the request had been refused, so refused heads still took memory. The limit of the descriptors was read through the management beans of the runtime, which cost time at the start.

Change: a connection whose incomplete head is given up is closed at once, nothing is decoded on a connection that is closing, and the limit of the descriptors is read from /proc/self/limits.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -1,9 +1,14 @@
 package org.masticcroft.gateway.config;
 
-import com.sun.management.UnixOperatingSystemMXBean;
-import java.lang.management.ManagementFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
  * Budgets of a process for what its callers make it hold, over all connections.
@@ -26,6 +31,12 @@
     /** Longer than a short loss of the caller's link, shorter than the usual idle timeout of 15 s. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Limits of this process. The management beans of the runtime state the same, but cost time at the start. */
+    private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
+
+    /** Soft limit of the descriptors, for example {@code Max open files  2069  2069  files}. */
+    private static final Pattern DESCRIPTORS = Pattern.compile("Max open files\\s+(\\d{1,9})\\s.*");
+
     /** Descriptors that are assumed if the limit of the process is unknown. */
     private static final long UNKNOWN_DESCRIPTORS = 1024;
 
@@ -41,10 +52,19 @@
 
     /** Returns the budgets for the heap and the descriptors of this process. */
     public static CallerBudgets ofProcess() {
-        long descriptors = ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
-                ? system.getMaxFileDescriptorCount()
-                : UNKNOWN_DESCRIPTORS;
-        return of(Runtime.getRuntime().maxMemory(), descriptors);
+        return of(Runtime.getRuntime().maxMemory(), maxDescriptors());
+    }
+
+    private static long maxDescriptors() {
+        try (Stream<String> limits = Files.lines(PROCESS_LIMITS)) {
+            return limits.map(DESCRIPTORS::matcher)
+                    .filter(Matcher::matches)
+                    .map(matcher -> Long.parseLong(matcher.group(1)))
+                    .findFirst()
+                    .orElse(UNKNOWN_DESCRIPTORS);
+        } catch (IOException | UncheckedIOException e) {
+            return UNKNOWN_DESCRIPTORS;
+        }
     }
 
     /** Returns budgets that no caller reaches. */
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -287,12 +287,22 @@
     private ArrivingRequest arriving() {
         if (arriving == null) {
             arriving = new ArrivingRequest(
-                    server.pressure().requests().newReservation(() -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)),
+                    server.pressure().requests().newReservation(this::giveUpArriving),
                     server.limits().maxBodyBytes());
         }
         return arriving;
     }
 
+    /** Refuses the arriving request, or closes the connection if the decoder holds a part of its head. */
+    private void giveUpArriving() {
+        if (headTimer.headBegun()) {
+            closing = true;
+            context.close();
+        } else {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     private void releaseArriving() {
         if (arriving != null) {
             arriving.release();
@@ -435,6 +445,11 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             lastReadNanos = server.time().nanoTime();
+            if (closing) {
+                // Nothing is handled any more, so the decoder must not keep it.
+                ReferenceCountUtil.release(message);
+                return;
+            }
             if (betweenRequests && !headBegun) {
                 headBegun = true;
                 headBegunNanos = ServerConnection.this.earliestArrivalNanos();
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -171,6 +172,37 @@
         }
     }
 
+    @Nested
+    class AConnectionOverTheBudget {
+        /** Guards against a new connection that cuts off an open request, or that is kept although it is too many. */
+        @Test
+        void isClosedWhileARequestIsOpenOnTheOther() throws Exception {
+            Address limited = new Address("127.0.0.1", freePort());
+            CompletableFuture<ResponseWriter> open = new CompletableFuture<>();
+            HttpServer.of(
+                            loop,
+                            TimeSource.system(),
+                            InputClock.immediate(TimeSource.system()),
+                            () -> LIMITS,
+                            CallerPressure.of(new CallerBudgets(100_000, 100_000, 1, Duration.ofSeconds(9))),
+                            (head, body, writer) -> open.complete(writer))
+                    .listen(limited);
+            try (Socket first = new Socket("127.0.0.1", limited.port())) {
+                first.setSoTimeout(10_000);
+                write(first, REQUEST.replace("Host", "Connection: close\r\nHost"));
+                ResponseWriter writer = open.get(10, TimeUnit.SECONDS);
+                try (Socket second = new Socket("127.0.0.1", limited.port())) {
+                    second.setSoTimeout(10_000);
+
+                    assertThat(readToEnd(second)).isEmpty();
+                }
+                loop.execute(() -> writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER));
+
+                assertThat(readToEnd(first)).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+
     @Nested
     class HeadRequests {
         /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
