--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -52,6 +52,7 @@
 import org.masticcroft.gateway.hedge.HedgePolicy;
 import org.masticcroft.gateway.http.Address;
 import org.masticcroft.gateway.http.CallFailure;
+import org.masticcroft.gateway.http.CallerPressure;
 import org.masticcroft.gateway.http.CallerRequest;
 import org.masticcroft.gateway.http.Dialect;
 import org.masticcroft.gateway.http.HttpServer;
@@ -60,6 +61,7 @@
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.log.DecisionLog;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
 import org.masticcroft.gateway.metrics.ProcessMetrics;
@@ -122,6 +124,7 @@
     private final RequestFilter filter;
     private final ColdUpstreams coldUpstreams;
     private final UpstreamChooser chooser;
+    private final CallerPressure callerPressure;
     private final HttpServer callerServer;
     private final GracefulStop stop;
     private final HttpServer readinessServer;
@@ -199,10 +202,13 @@
                         EngineMemory.of(fleet::profile, log),
                         SlotShare.of(settings.ip(), fleet::profile),
                         GradualRefill.of(fleet.evacuations(), dependencies.random())));
-        this.callerServer = HttpServer.of(loop, time, dependencies.inputs(), this::limits, this::handle);
+        this.callerPressure = CallerPressure.of(settings.callerBudgets());
+        this.callerServer =
+                HttpServer.of(loop, time, dependencies.inputs(), this::limits, callerPressure, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
-        this.readinessServer = HttpServer.of(loop, time, CallerLimits::defaults, this::handleReadiness);
+        this.readinessServer = HttpServer.of(
+                loop, time, InputClock.immediate(time), CallerLimits::defaults, callerPressure, this::handleReadiness);
         FleetStore store = dependencies.store();
         this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
         this.upstreamsFollower =
@@ -233,6 +239,8 @@
                 .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
+        RepeatingTask.of("caller-pressure", () -> callerPressure.write(log), log)
+                .schedule(loop, SUBSCRIBE_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
         RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
                 .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
         RepeatingTask.of("subscriptions", datagrams::subscribe, log)
@@ -262,6 +270,7 @@
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         coldUpstreams.expose(metrics, time);
         lateInputs.expose(metrics);
+        callerPressure.expose(metrics);
         datagrams.traffic().expose(metrics);
         settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -18,13 +18,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticcroft.gateway.config.CallerBudgets;
 import org.masticcroft.gateway.config.CallerLimits;
+import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.kernel.time.TimeSource;
 
 class HttpServerTest {
@@ -34,12 +37,11 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
-    private final HttpServer server = HttpServer.of(
-            loop,
-            TimeSource.system(),
-            () -> LIMITS,
-            (head, body, writer) ->
-                    writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'})));
+    private final HttpServer server = HttpServer.of(loop, TimeSource.system(), () -> LIMITS, (head, body, writer) -> {
+        lastBody = body;
+        writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'}));
+    });
+    private volatile byte[] lastBody;
     private final Address address = new Address("127.0.0.1", freePort());
 
     HttpServerTest() throws IOException {
@@ -127,6 +129,80 @@
         }
     }
 
+    @Nested
+    class Bodies {
+        /** Guards against callers that hold memory with a body that never ends. */
+        @Test
+        void thatStopBeforeTheirEndAreRefused() throws Exception {
+            CallerBudgets budgets = new CallerBudgets(100_000, 100_000, 10, Duration.ofMillis(1500));
+            Address limited = new Address("127.0.0.1", freePort());
+            HttpServer.of(
+                            loop,
+                            TimeSource.system(),
+                            InputClock.immediate(TimeSource.system()),
+                            () -> LIMITS,
+                            CallerPressure.of(budgets),
+                            (head, body, writer) -> {})
+                    .listen(limited);
+            try (Socket socket = new Socket("127.0.0.1", limited.port())) {
+                socket.setSoTimeout(10_000);
+                write(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbod");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+            }
+        }
+
+        /** Guards against bytes that are lost or mixed up where the array of a body grows. */
+        @Test
+        void inSmallChunksArriveWhole() throws Exception {
+            try (Socket socket = connect()) {
+                StringBuilder chunks = new StringBuilder();
+                for (int i = 0; i < 2000; i++) {
+                    chunks.append("1\r\n").append((char) ('a' + i % 26)).append("\r\n");
+                }
+                write(socket, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+                write(socket, chunks + "0\r\n\r\n");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+            }
+            assertThat(lastBody)
+                    .hasSize(2000)
+                    .startsWith((byte) 'a', (byte) 'b')
+                    .endsWith((byte) ('a' + 1999 % 26));
+        }
+    }
+
+    @Nested
+    class AConnectionOverTheBudget {
+        /** Guards against a new connection that cuts off an open request, or that is kept although it is too many. */
+        @Test
+        void isClosedWhileARequestIsOpenOnTheOther() throws Exception {
+            Address limited = new Address("127.0.0.1", freePort());
+            CompletableFuture<ResponseWriter> open = new CompletableFuture<>();
+            HttpServer.of(
+                            loop,
+                            TimeSource.system(),
+                            InputClock.immediate(TimeSource.system()),
+                            () -> LIMITS,
+                            CallerPressure.of(new CallerBudgets(100_000, 100_000, 1, Duration.ofSeconds(9))),
+                            (head, body, writer) -> open.complete(writer))
+                    .listen(limited);
+            try (Socket first = new Socket("127.0.0.1", limited.port())) {
+                first.setSoTimeout(10_000);
+                write(first, REQUEST.replace("Host", "Connection: close\r\nHost"));
+                ResponseWriter writer = open.get(10, TimeUnit.SECONDS);
+                try (Socket second = new Socket("127.0.0.1", limited.port())) {
+                    second.setSoTimeout(10_000);
+
+                    assertThat(readToEnd(second)).isEmpty();
+                }
+                loop.execute(() -> writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER));
+
+                assertThat(readToEnd(first)).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+
     @Nested
     class HeadRequests {
         /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
