Explain where a request would be sent, without sending it

Cause: operators can see why a request was sent to an upstream only afterwards, in the log or the account. The forecast of ServiceQueue uses the same predictions as add and changes nothing; the test on the order of waiting requests moves to a method that both use.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/GatewayConfig.java
@@ -87,6 +87,13 @@
         return Optional.ofNullable(customersByKey.get(key));
     }
 
+    /** Returns the customer with a name, if it has an API key. */
+    public Optional<Customer> customerNamed(String name) {
+        return customersByKey.values().stream()
+                .filter(customer -> customer.name().equals(name))
+                .findFirst();
+    }
+
     /** Returns the service with a name, if it is configured. */
     public Optional<UpstreamService> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -83,11 +83,7 @@
             estimate.recordArrival(request.rank(), now);
         }
         List<Upstream> upstreams = table.ofService(service);
-        boolean isNext = waiting.stream()
-                .filter(other -> priority(other, now) <= priority)
-                .allMatch(other -> waitsForFewUpstreams(other)
-                        && chooser.choose(other, upstreams, profile, limit, now).isEmpty());
-        if (isNext) {
+        if (isNext(priority, upstreams, profile, limit, now)) {
             Optional<QueuedRequest.Choice> choice = chooser.choose(request, upstreams, profile, limit, now);
             if (choice.isPresent()) {
                 dispatch(request, choice.get());
@@ -148,6 +144,40 @@
         return choice.isPresent();
     }
 
+    /** Returns what {@link #add} would do with a request that was not sent before, and changes nothing. */
+    public QueueForecast forecast(QueuedRequest request, Optional<EngineProfile> profile, VersionLimit statedLimit) {
+        long now = time.nanoTime();
+        VersionLimit limit = forSlowResponses(statedLimit);
+        List<Upstream> upstreams = table.ofService(service);
+        List<UpstreamAssessment> assessments = chooser.assess(request, upstreams, profile, limit, now);
+        double priority = priority(request, now);
+        Optional<QueuedRequest.Choice> choice = isNext(priority, upstreams, profile, limit, now)
+                ? chooser.choose(request, upstreams, profile, limit, now)
+                : Optional.empty();
+        Duration wait = choice.isPresent() ? Duration.ZERO : expectedWait(request, priority, now);
+        String reason = "";
+        if (choice.isEmpty()) {
+            if (!chooser.anyServing(request, upstreams, profile, limit, now)) {
+                reason = "no-upstream";
+            } else if (outlasts(UpstreamChooser.untilPauseEnds(upstreams, now), request, now)) {
+                reason = "upstreams-paused";
+            } else if (!worthWaiting(request, wait, now)) {
+                reason = "expected-wait";
+            }
+        }
+        String decision = choice.isPresent() ? "sent" : reason.isEmpty() ? "queued" : "refused";
+        return new QueueForecast(decision, reason, wait, waiting.size(), choice, assessments);
+    }
+
+    /** Returns whether a request of a priority comes before all waiting ones that an upstream has room for. */
+    private boolean isNext(
+            double priority, List<Upstream> upstreams, Optional<EngineProfile> profile, VersionLimit limit, long now) {
+        return waiting.stream()
+                .filter(other -> priority(other, now) <= priority)
+                .allMatch(other -> waitsForFewUpstreams(other)
+                        && chooser.choose(other, upstreams, profile, limit, now).isEmpty());
+    }
+
     /** Removes a request that no longer waits for an upstream. */
     public void remove(QueuedRequest request) {
         waiting.remove(request);
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.masticcroft.gateway.config.EngineProfile;
@@ -99,6 +100,54 @@
                 : Optional.of(new QueuedRequest.Choice(best, candidates, bestMillis, best.load(nowNanos)));
     }
 
+    /** Returns what {@link #choose} would decide on each upstream, with the same parameters. */
+    public List<UpstreamAssessment> assess(
+            QueuedRequest request,
+            List<Upstream> upstreams,
+            Optional<EngineProfile> profile,
+            VersionLimit versions,
+            long nowNanos) {
+        return upstreams.stream()
+                .map(upstream -> new UpstreamAssessment(
+                        upstream,
+                        decision(request, upstream, profile, versions, nowNanos),
+                        predict(request, upstream, profile, nowNanos),
+                        upstream.load(nowNanos)))
+                .toList();
+    }
+
+    private String decision(
+            QueuedRequest request,
+            Upstream upstream,
+            Optional<EngineProfile> profile,
+            VersionLimit versions,
+            long nowNanos) {
+        PlacementDecision placement = rules.check(request, upstream, nowNanos);
+        if (placement != PlacementDecision.ALLOWED) {
+            return placement.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+        if (eligible(request, upstream, profile, versions, nowNanos)) {
+            return UpstreamAssessment.ELIGIBLE;
+        }
+        if (!upstream.usable(nowNanos)) {
+            return "not-usable";
+        }
+        if (!upstream.acceptsRequests(nowNanos)) {
+            return "paused";
+        }
+        if (profile.isEmpty()) {
+            return "full";
+        }
+        if (upstream.loading()) {
+            return "loading-weights";
+        }
+        Duration untilBegin = untilBegin(request.promptTokens(), upstream, profile.get(), nowNanos);
+        if (!servesVersion(upstream, versions, untilBegin)) {
+            return "outdated-weights";
+        }
+        return prefillFits(request, upstream, profile.get()) ? "full" : "prefill-pending";
+    }
+
     /** Is called when a request is dispatched to an upstream. */
     void onSend(QueuedRequest request, Upstream upstream, long nowNanos) {
         rules.onSend(request, upstream, nowNanos);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -235,7 +235,12 @@
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
-        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
+        RequestExplainer explainer = new RequestExplainer(
+                time,
+                fleet,
+                configValidity,
+                (request, service) -> queue(service).forecast(request, profile(service), versionLimit(service)));
+        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics, explainer::explain));
     }
 
     @Override
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -77,6 +77,32 @@
         queue.dispatchWaiting(PROFILE, VersionLimit.none());
     }
 
+    @Nested
+    class AForecast {
+        private String decision() {
+            int size = queue.size();
+            QueueForecast forecast = queue.forecast(request("probe", new Rank(1, 1)), PROFILE, VersionLimit.none());
+            assertThat(queue.size()).isEqualTo(size);
+            return forecast.decision() + forecast.reason();
+        }
+
+        // Guards against a forecast that differs from what the queue does with the next request.
+        @Test
+        void statesWhatBecomesOfTheNextRequest() {
+            assertThat(decision()).isEqualTo("refusedno-upstream");
+            assertThat(add("a", 1).refusal.orElseThrow().reason()).isEqualTo("no-upstream");
+            list("e1", "10.0.0.1", "z1", 1, false);
+            assertThat(decision()).isEqualTo("sent");
+            while (add("filling", 1).choice.isPresent()) {
+                assertThat(queue.size()).isZero();
+            }
+            assertThat(decision()).isEqualTo("queued");
+            int before = queue.size();
+            add("queued", 1);
+            assertThat(queue.size()).isEqualTo(before + 1);
+        }
+    }
+
     @Nested
     class AHedge {
         private boolean dispatched() {
