Send no hedge to a cold upstream

Cause: the rule on cold upstreams let a hedge through as long as its share of the rate was not used up, although hedges must never go to a cold upstream.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ColdUpstreams.java
@@ -72,6 +72,10 @@
         if (!sent.cold) {
             return PlacementDecision.ALLOWED;
         }
+        if (request.hedge()) {
+            // A cold upstream is slow, and the requests that it tolerates are for those that have no upstream yet.
+            return PlacementDecision.COLD_RATE_REACHED;
+        }
         OptionalInt stated = table.statedEntries(nowNanos);
         if (stated.isEmpty() && othersServe(request, upstream, nowNanos)) {
             return PlacementDecision.COLD_RATE_REACHED;
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ColdUpstreamsTest.java
@@ -121,6 +121,24 @@
         return most;
     }
 
+    @Nested
+    class AHedge {
+        /** Guards against hedges that use up what a cold upstream tolerates. */
+        @Test
+        void isNeverSentToAColdUpstream() {
+            start(1, COLD_TIME);
+            Entry entry = fleet.get(0);
+            entry.report(1);
+            Upstream cold = entry.table.listed().get(0);
+            FakeRequest request =
+                    new FakeRequest("r", new Rank(1, 0), now, Duration.ofMillis(400), Duration.ofSeconds(6));
+            assertThat(entry.rule.check(request, cold, now)).isEqualTo(PlacementDecision.ALLOWED);
+
+            request.hedge = true;
+            assertThat(entry.rule.check(request, cold, now)).isEqualTo(PlacementDecision.COLD_RATE_REACHED);
+        }
+    }
+
     @Nested
     class ManyEntries {
         /** Guards against a sum beyond the bound, for random limits, numbers of entries and demand. */
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/FakeRequest.java
@@ -11,6 +11,7 @@
     private final String id;
     private final Rank rank;
     boolean alreadySent;
+    boolean hedge;
     int promptTokens = 800;
     int memoryTokens;
     private final long arrivalNanos;
@@ -79,6 +80,11 @@
         return triedUpstreams;
     }
 
+    @Override
+    public boolean hedge() {
+        return hedge;
+    }
+
     @Override
     public AllowedRegions allowedRegions() {
         return allowedRegions;
