--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/SlotShare.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/SlotShare.java
@@ -1,10 +1,13 @@
 package org.masticcroft.gateway.dispatch;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import org.masticcroft.gateway.config.EngineProfile;
 import org.masticcroft.gateway.load.LoadReport;
 
@@ -29,12 +32,20 @@
     /** Time within which an engine prefills the prompts that it gets between two reports, which come every 200 ms. */
     private static final double MAX_PREFILL_MILLIS = 150;
 
+    /** Time for which the number of entries is used again; looking it up takes time in proportion to the fleet. */
+    private static final Duration ENTRIES_LIFETIME = Duration.ofMillis(100);
+
     private final int seed;
     private final Function<String, Optional<EngineProfile>> profiles;
+    private final LongFunction<OptionalInt> entriesAt;
+    private OptionalInt entries = OptionalInt.empty();
+    private OptionalLong entriesReadNanos = OptionalLong.empty();
 
-    private SlotShare(int seed, Function<String, Optional<EngineProfile>> profiles) {
+    private SlotShare(
+            int seed, Function<String, Optional<EngineProfile>> profiles, LongFunction<OptionalInt> entriesAt) {
         this.seed = seed;
         this.profiles = profiles;
+        this.entriesAt = entriesAt;
     }
 
     /**
@@ -42,16 +53,21 @@
      *
      * @param entry id of this entry, different for each one, so that they round their shares differently
      * @param profiles returns the cost model of the upstreams of a service, if they have one
+     * @param entriesAt returns the number of entries at a monotonic time in nanoseconds; empty if it is unknown. It is
+     *     that of the fleet: an upstream that was added while some entries could not read the list knows of few
      */
-    public static SlotShare of(String entry, Function<String, Optional<EngineProfile>> profiles) {
+    public static SlotShare of(
+            String entry, Function<String, Optional<EngineProfile>> profiles, LongFunction<OptionalInt> entriesAt) {
         return new SlotShare(
-                Objects.requireNonNull(entry, "entry").hashCode(), Objects.requireNonNull(profiles, "profiles"));
+                Objects.requireNonNull(entry, "entry").hashCode(),
+                Objects.requireNonNull(profiles, "profiles"),
+                Objects.requireNonNull(entriesAt, "entriesAt"));
     }
 
     @Override
     public PlacementDecision check(QueuedRequest request, Upstream upstream, long nowNanos) {
         int slots = upstream.listing().slots();
-        OptionalInt entries = upstream.entries();
+        readEntries(nowNanos);
         if (entries.isEmpty()
                 || entries.getAsInt() <= slots
                 || upstream.freshReport(nowNanos).isEmpty()) {
@@ -67,6 +83,13 @@
                 : PlacementDecision.SLOT_SHARE_USED;
     }
 
+    private void readEntries(long nowNanos) {
+        if (entriesReadNanos.isEmpty() || nowNanos - entriesReadNanos.getAsLong() >= ENTRIES_LIFETIME.toNanos()) {
+            entries = entriesAt.apply(nowNanos);
+            entriesReadNanos = OptionalLong.of(nowNanos);
+        }
+    }
+
     /** Returns how many prompts like that of a request the upstream may get between two reports. */
     private double promptsPerReport(QueuedRequest request, Upstream upstream) {
         double prefillMillis = profiles.apply(upstream.listing().service())
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamTable.java
@@ -58,7 +58,7 @@
      * Returns the largest number of entries that any sidecar states. Empty if none states it, or if no sidecar has sent
      * a report for so long that this entry may no longer be counted.
      */
-    OptionalInt statedEntries(long nowNanos) {
+    public OptionalInt statedEntries(long nowNanos) {
         int entries = 0;
         boolean inTouch = false;
         for (Upstream upstream : byId.values()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -200,7 +200,7 @@
                         AllowedRegionsRule.of(settings::regionOf),
                         coldUpstreams,
                         EngineMemory.of(fleet::profile, log),
-                        SlotShare.of(settings.ip(), fleet::profile),
+                        SlotShare.of(settings.ip(), fleet::profile, upstreams::statedEntries),
                         GradualRefill.of(fleet.evacuations(), dependencies.random())));
         this.callerPressure = CallerPressure.of(settings.callerBudgets());
         this.callerServer =
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/SlotShareTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -34,7 +35,7 @@
     }
 
     private static int sends(int entry, Upstream upstream, long nowNanos, int promptTokens) {
-        SlotShare rule = SlotShare.of("10.0.1." + entry, service -> Optional.of(PROFILE));
+        SlotShare rule = SlotShare.of("10.0.1." + entry, service -> Optional.of(PROFILE), nanos -> upstream.entries());
         FakeRequest request = request();
         request.promptTokens = promptTokens;
         int sent = 0;
@@ -116,6 +117,23 @@
         }
     }
 
+    @Nested
+    class AnEngineThatFewEntriesKnow {
+        /** Guards against a new engine that is filled at once because some entries could not read the list yet. */
+        @Test
+        void isSharedByAllEntriesOfTheFleet() {
+            Upstream upstream = views(10, 0).get(0);
+            SlotShare rule = SlotShare.of("10.0.1.1", service -> Optional.empty(), nanos -> OptionalInt.of(16));
+            int sent = 0;
+            while (sent < SLOTS && rule.check(request(), upstream, 2_000) == PlacementDecision.ALLOWED) {
+                upstream.recordSend(0, 2_000);
+                sent++;
+            }
+
+            assertThat(sent).isLessThan(3);
+        }
+    }
+
     @Nested
     class FewEntries {
         /** Guards against slots that stay free although few entries can hardly exceed them. */
