--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
@@ -23,6 +23,12 @@
     /** Status of requests that may succeed if they are sent again. */
     private static final int RETRYABLE_STATUS = 503;
 
+    /**
+     * Time after which a caller should go to another entry, which can serve the request at once. A longer pause made
+     * the responses late that other entries gave to callers of those that the store turned away.
+     */
+    private static final Duration OTHER_ENTRY_RETRY_AFTER = Duration.ofMillis(30);
+
     private final ExchangeContext context;
     private final FleetState fleet;
     private final ConfigValidity configValidity;
@@ -85,7 +91,7 @@
             return;
         }
         if (!confirmed) {
-            refuse(request, writer, RETRYABLE_STATUS, "configuration-unconfirmed");
+            refuse(request, writer, RETRYABLE_STATUS, "configuration-unconfirmed", OTHER_ENTRY_RETRY_AFTER);
             return;
         }
         Optional<Customer> customer = request.key().flatMap(config::customer);
