Let bodies wait for memory instead of refusing them

Callers saw 503 for legal bodies because others were arriving at the same time: some of 24 bodies of 4 MiB, of 200 of 256 KiB and of 100 chunked ones of 512 KiB sent at once in a calm process. Beside 240 bodies that were trickled, a body of 1 MiB got no 200 within 10 s.

Cause: all bodies were read at once, and over the budget of a quarter of the heap the largest arriving one was refused. A byte every two seconds kept a stopped body from its timeout, and it was smaller than the ordinary large ones.

Change: a body over 8 KiB claims its memory before it is read, and its connection is not read while the claim does not fit. Claims that may grow leave room for one largest body, so bodies that wait cannot block each other. Small bodies are admitted first, of similar ones the newest. While any waits, bodies that arrive too slowly to be complete within callers.body-timeout.ms are refused, the largest first; a body that has waited that long is refused, too. Reads from callers take 16 KiB at most, which bounds what is in memory of a body that waits. A body whose announced length exceeds the limit gets 413 at its head. The defaults of the budgets are unchanged.

Why it works: the bytes that do not fit stay in the buffers of the kernel and of the caller, and memory comes free as soon as any request before is answered.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
 
@@ -13,6 +14,9 @@
 final class ArrivingRequest {
     private static final byte[] EMPTY = {};
 
+    /** Body bytes that are read without a claim; most bodies are not larger. */
+    private static final int UNCLAIMED_BODY_BYTES = 8192;
+
     /** Size of the first array, unless the announced length is smaller. */
     private static final int INITIAL_BYTES = 4096;
 
@@ -69,6 +73,41 @@
         return memory.resize(headCostBytes);
     }
 
+    /**
+     * Claims memory for the body, as far as its length is known.
+     *
+     * @param nowNanos monotonic time
+     * @return whether the body may be read on; if not, the request waits for memory or was refused
+     */
+    boolean claimBody(long nowNanos) {
+        long claimed = memory.claimedBytes() - headCostBytes;
+        long announced = HttpUtil.getContentLength(head, -1L);
+        long largest = announced < 0 ? maxBodyBytes : announced;
+        // A body of unknown length claims more one read before its memory is full.
+        long needed = announced < 0 ? Math.min(largest, length + HttpServer.MAX_READ_BYTES) : announced;
+        boolean small = (announced < 0 ? length : announced) <= UNCLAIMED_BODY_BYTES;
+        if (small || needed <= claimed) {
+            return true;
+        }
+        long wanted = Math.min(largest, announced < 0 ? 2 * needed : announced);
+        return !memory.waiting() && memory.claim(headCostBytes + wanted, headCostBytes + largest, nowNanos);
+    }
+
+    /** Returns whether the body waits for memory. */
+    boolean waiting() {
+        return memory.waiting();
+    }
+
+    /** Measures the pace of the body from now on. */
+    void startPace(long nowNanos) {
+        memory.startPace(nowNanos);
+    }
+
+    /** Notes that a part of the body has arrived. */
+    void arrived(int bytes, long nowNanos, Duration bodyTime) {
+        memory.arrived(bytes, nowNanos, bodyTime);
+    }
+
     /** Adds a part of the body, which must not exceed the limit; returns false if the request was refused. */
     boolean add(ByteBuf content) {
         int newLength = length + content.readableBytes();
@@ -85,6 +124,10 @@
     }
 
     private int capacity(int needed) {
+        long claimed = memory.claimedBytes() - headCostBytes;
+        if (claimed >= needed) {
+            return (int) claimed;
+        }
         long announced = HttpUtil.getContentLength(head, (long) maxBodyBytes);
         int limit = (int) Math.max(needed, Math.min(announced, maxBodyBytes));
         return Math.min(limit, Math.max(Math.max(INITIAL_BYTES, needed), 2 * body.length));
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.masticcroft.gateway.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -30,6 +31,15 @@
     /** Time for which requests are handled until new input is read, such as the closes of their callers. */
     private static final Duration MAX_HANDLING = Duration.ofMillis(20);
 
+    /** Interval at which room is made while bodies wait for memory. */
+    private static final long RELIEF_INTERVAL_MILLIS = 100;
+
+    /** Most bytes that are read at once, since a body that must wait for memory has been read that far. */
+    static final int MAX_READ_BYTES = 16_384;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2048;
+
     /** Interval at which connections that exceed the idle timeout are closed. */
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 1000;
 
@@ -50,6 +60,7 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Deque<ServerConnection> arrivals = new ArrayDeque<>();
     private boolean handling;
+    private boolean relieving;
     private Channel serverChannel;
     private boolean draining;
     private boolean listenerClosing;
@@ -124,6 +135,9 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAll())
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -194,6 +208,22 @@
         return pressure;
     }
 
+    /** Makes room from time to time while bodies wait for memory. */
+    void bodyWaits() {
+        if (!relieving) {
+            relieving = true;
+            loop.schedule(this::relieve, RELIEF_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void relieve() {
+        relieving = false;
+        pressure.requests().relieve(time.nanoTime(), pressure.budgets().bodyTimeout());
+        if (pressure.requests().waiting() > 0) {
+            bodyWaits();
+        }
+    }
+
     void remove(ServerConnection connection) {
         connections.remove(connection);
         pressure.connections().remove(connection);
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -38,7 +38,7 @@
 
 /** One connection of the HTTP server. Pipelined requests are handled one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter
-        implements UnreadResponses.Connection, ConnectionBudget.Connection {
+        implements UnreadResponses.Connection, ConnectionBudget.Connection, RequestMemory.Owner {
     /** Requests that may wait behind the current one; a small bound, since callers of this gateway do not pipeline. */
     private static final int MAX_PIPELINED = 8;
 
@@ -154,13 +154,19 @@
 
     private boolean inactiveLongerThan(Duration limit) {
         boolean unread = current == null && !context.channel().isWritable();
-        return (!busy() || unread) && server.time().since(lastActiveNanos).compareTo(limit) > 0;
+        return (!busy() && !bodyWaits() || unread)
+                && server.time().since(lastActiveNanos).compareTo(limit) > 0;
     }
 
     private boolean bodyBegun() {
         return arriving != null && arriving.head() != null;
     }
 
+    /** Returns whether the body of the arriving request waits for memory, so that the connection is not read. */
+    private boolean bodyWaits() {
+        return arriving != null && arriving.waiting();
+    }
+
     /** Refuses a request whose body stops before its end, so that it does not hold its memory. */
     void rejectIfBodyStopsLongerThan(Duration limit) {
         if (bodyStoppedLongerThan(limit)) {
@@ -172,9 +178,10 @@
         }
     }
 
-    /** A body behind a request that waits is not read, so it has not stopped. */
+    /** A body that waits for memory, or behind a request that waits, is not read, so it has not stopped. */
     private boolean bodyStoppedLongerThan(Duration limit) {
         return bodyBegun()
+                && !bodyWaits()
                 && pipelined.isEmpty()
                 && server.time().since(lastActiveNanos).compareTo(limit) > 0;
     }
@@ -241,10 +248,31 @@
             reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE);
             return;
         }
-        if (!arriving().headEnded(request)) {
+        if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
+        if (arriving().headEnded(request)) {
+            arriving.startPace(lastActiveNanos);
+            claimBody();
+        }
+    }
+
+    /** Claims memory for the body. The connection is not read until there is enough. */
+    private void claimBody() {
+        boolean begun = arriving.length() > 0;
+        if (arriving.claimBody(server.time().nanoTime())) {
+            if (!begun) {
+                askForBody();
+            }
+        } else if (bodyWaits()) {
+            updateReading();
+            server.bodyWaits();
+        }
+    }
+
+    private void askForBody() {
+        if (HttpUtil.is100ContinueExpected(arriving.head())) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -258,14 +286,42 @@
         return bytes;
     }
 
+    @Override
+    public void admitted() {
+        lastActiveNanos = server.time().nanoTime();
+        if (arriving.length() == 0) {
+            askForBody();
+        }
+        updateReading();
+    }
+
+    @Override
+    public boolean reading() {
+        return context.channel().config().isAutoRead();
+    }
+
+    @Override
+    public void readReceived() {
+        readReceivedBytes();
+    }
+
     private void addContent(HttpContent content) {
         lastActiveNanos = server.time().nanoTime();
+        arriving.arrived(
+                content.content().readableBytes(),
+                lastActiveNanos,
+                server.pressure().budgets().bodyTimeout());
         if (arriving.length() + content.content().readableBytes()
                 > server.limits().maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (arriving.add(content.content()) && content instanceof LastHttpContent) {
+        if (!arriving.add(content.content())) {
+            return;
+        }
+        if (!(content instanceof LastHttpContent)) {
+            claimBody();
+        } else {
             BufferedRequest request =
                     new BufferedRequest(arriving, arriving.complete(), headTimer.earliestArrivalNanos());
             arriving = null;
@@ -287,14 +343,15 @@
     private ArrivingRequest arriving() {
         if (arriving == null) {
             arriving = new ArrivingRequest(
-                    server.pressure().requests().newReservation(this::giveUpArriving),
+                    server.pressure().requests().newReservation(this),
                     server.limits().maxBodyBytes());
         }
         return arriving;
     }
 
     /** Refuses the arriving request, or closes the connection if the decoder holds a part of its head. */
-    private void giveUpArriving() {
+    @Override
+    public void givenUp() {
         if (headTimer.headBegun()) {
             closing = true;
             context.close();
@@ -315,11 +372,18 @@
         pipelined.clear();
     }
 
-    /** Stops reading the connection while a request waits on it behind another one, or behind unread responses. */
+    /**
+     * Stops reading the connection while a request waits on it behind another one or behind unread responses, or a body
+     * for memory.
+     */
     private void updateReading() {
         boolean waiting =
                 !pipelined.isEmpty() && (current != null || !context.channel().isWritable());
-        context.channel().config().setAutoRead(closing || !waiting);
+        boolean read = closing || !(waiting || bodyWaits());
+        if (read && !reading() && arriving != null) {
+            arriving.startPace(server.time().nanoTime());
+        }
+        context.channel().config().setAutoRead(read);
     }
 
     @Override
@@ -352,7 +416,7 @@
     /** Reads the connection unless it was open a moment ago, and returns whether it still is. */
     private boolean readIfLate() {
         long now = server.time().nanoTime();
-        if (now - knownOpenNanos(now) > LATE.toNanos()) {
+        if (!bodyWaits() && now - knownOpenNanos(now) > LATE.toNanos()) {
             readReceivedBytes();
             checkedNanos = server.time().nanoTime();
         }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/RequestMemoryTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/RequestMemoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
@@ -74,4 +75,111 @@
             assertThat(memory.usedBytes()).isZero();
         }
     }
+
+    @Nested
+    class ABodyThatDoesNotFit {
+        private static final Duration BODY_TIME = Duration.ofSeconds(10);
+
+        private final List<String> admitted = new ArrayList<>();
+        private long nowNanos;
+
+        /** Guards against refusing a legal body although the ones before it will be answered. */
+        @Test
+        void waitsUntilOthersAreAnswered() {
+            RequestMemory.Reservation first = claim("first", 4000, 4000);
+            claim("second", 3000, 3000);
+            assertThat(memory.waiting()).isOne();
+
+            first.complete(4000);
+            assertThat(admitted).isEmpty();
+            first.release();
+            assertThat(admitted).containsExactly("second");
+            assertThat(memory.usedBytes()).isEqualTo(3000);
+            assertThat(givenUp).isEmpty();
+        }
+
+        /** Guards against small and new requests that wait behind a crowd of large ones. */
+        @Test
+        void yieldsToSmallerAndNewerOnes() {
+            RequestMemory.Reservation first = claim("first", 4000, 4000);
+            claim("old", 3000, 3000);
+            claim("new", 3000, 3000);
+            claim("smaller", 900, 900);
+            first.release();
+
+            assertThat(admitted).containsExactly("smaller", "new");
+        }
+
+        /** Guards against bodies of unknown length that all wait for each other's memory. */
+        @Test
+        void isNeverBlockedByOthersThatWaitThemselves() {
+            List<RequestMemory.Reservation> bodies = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                bodies.add(claim("chunked", SMALL - 10, 2000));
+            }
+            bodies.stream().filter(body -> !body.waiting()).forEach(body -> body.claim(SMALL, 2000, nowNanos));
+            while (!bodies.isEmpty()) {
+                RequestMemory.Reservation next = bodies.stream()
+                        .filter(body -> !body.waiting())
+                        .findFirst()
+                        .orElseThrow();
+                next.release();
+                bodies.remove(next);
+            }
+
+            assertThat(memory.waiting()).isZero();
+            assertThat(givenUp).isEmpty();
+        }
+
+        /** Guards against stopped or trickled bodies that shut out others, and against cutting off the others. */
+        @Test
+        void displacesThoseThatArriveTooSlowly() {
+            RequestMemory.Reservation fast = claim("fast", 2000, 2000);
+            claim("stopped", 2500, 2500);
+            claim("waiting", 2400, 2400);
+            nowNanos = Duration.ofSeconds(2).toNanos();
+            fast.arrived(1000, nowNanos, BODY_TIME);
+            memory.relieve(nowNanos, BODY_TIME);
+
+            assertThat(givenUp).containsExactly("stopped");
+            assertThat(admitted).containsExactly("waiting");
+            assertThat(memory.waiting()).isZero();
+        }
+
+        /** Guards against a body that keeps waiting although its caller has given up long ago. */
+        @Test
+        void isRefusedOnceItHasWaitedTooLong() {
+            claim("first", 4000, 4000).complete(4000);
+            claim("waiting", 3000, 3000);
+            memory.relieve(BODY_TIME.toNanos() + 1, BODY_TIME);
+
+            assertThat(givenUp).containsExactly("waiting");
+        }
+
+        /** Guards against waiting for memory that the process does not have. */
+        @Test
+        void isRefusedAtOnceIfItNeverFits() {
+            claim("first", 1000, 1000);
+            claim("huge", 5000, 5000);
+
+            assertThat(givenUp).containsExactly("huge");
+        }
+
+        private RequestMemory.Reservation claim(String name, long wanted, long largest) {
+            RequestMemory.Reservation reservation = memory.newReservation(new RequestMemory.Owner() {
+                @Override
+                public void givenUp() {
+                    givenUp.add(name);
+                }
+
+                @Override
+                public void admitted() {
+                    admitted.add(name);
+                }
+            });
+            reservation.resize(1);
+            reservation.claim(wanted, largest, nowNanos);
+            return reservation;
+        }
+    }
 }
