Bound what crowds hold at the ports for metrics, readiness and peers

Callers who sent large or chunked bodies to the port for peers of a sidecar, or chunked ones to its port for metrics, ended it: OutOfMemoryError. Very small chunks, stopped heads or more connections than descriptors left both ports, and the port for metrics of an entry, without an answer to an ordinary request.

Cause: the servers for metrics and peers had no budgets, and they read bodies of up to 4 MiB into memory although none of their requests has one.

Change: these servers and the one for readiness count bodies and drop them (HttpServer.withoutBodies). All servers of a process share its budgets for requests and unread responses; a sidecar has them, too, computed from its own heap and descriptors. The ports for metrics and readiness have connections of their own, callers.internal-connections, 1/16 of the descriptors (128 on the smallest machine; the platform uses one of each). The port for peers has 5/8.

Why it works: a body takes no memory there whatever its size and framing, heads and unread responses are bounded over all ports of the process, and the connections that were unused the longest make room for new ones.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -15,10 +15,12 @@
  *
  * @param requestBytes memory for requests that are arriving, queued or being served
  * @param unreadBytes memory for responses that their callers have not read
- * @param connections connections of callers
- * @param bodyTimeout longest time for which a body that has begun may stop arriving
+ * @param connections connections of callers, or of other sidecars
+ * @param internalConnections connections to the ports for metrics and readiness
+ * @param bodyTimeout longest time for which a body that has begun may stop arriving, or wait for memory
  */
-public record CallerBudgets(long requestBytes, long unreadBytes, int connections, Duration bodyTimeout) {
+public record CallerBudgets(
+        long requestBytes, long unreadBytes, int connections, int internalConnections, Duration bodyTimeout) {
     /** Fraction of the heap for requests, as a divisor; six of the largest legal bodies at a heap of 96 MB. */
     private static final int REQUESTS_DIVISOR = 4;
 
@@ -28,6 +30,9 @@
     /** Fraction of the descriptors for connections of callers; most of the others are left for upstreams. */
     private static final double CONNECTIONS_SHARE = 0.625;
 
+    /** Fraction of the descriptors for connections to the ports for metrics and readiness, as a divisor. */
+    private static final int INTERNAL_DIVISOR = 16;
+
     /** Longer than a short loss of the caller's link, shorter than the usual idle timeout of 15 s. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
@@ -45,7 +50,11 @@
     /** Requires positive values. */
     public CallerBudgets {
         Objects.requireNonNull(bodyTimeout, "bodyTimeout");
-        if (requestBytes <= 0 || unreadBytes <= 0 || connections <= 0 || bodyTimeout.isNegative()) {
+        if (requestBytes <= 0
+                || unreadBytes <= 0
+                || connections <= 0
+                || internalConnections <= 0
+                || bodyTimeout.isNegative()) {
             throw new IllegalArgumentException("budgets must be positive");
         }
     }
@@ -69,7 +78,7 @@
 
     /** Returns budgets that no caller reaches. */
     public static CallerBudgets unbounded() {
-        return new CallerBudgets(Long.MAX_VALUE, Long.MAX_VALUE, MAX_CONNECTIONS, Duration.ofDays(1));
+        return new CallerBudgets(Long.MAX_VALUE, Long.MAX_VALUE, MAX_CONNECTIONS, MAX_CONNECTIONS, Duration.ofDays(1));
     }
 
     /** Returns the budgets for a heap of the given size in bytes and a limit of the file descriptors. */
@@ -78,6 +87,7 @@
                 heapBytes / REQUESTS_DIVISOR,
                 heapBytes / UNREAD_DIVISOR,
                 (int) Math.min(MAX_CONNECTIONS, Math.max(1, (long) (descriptors * CONNECTIONS_SHARE))),
+                (int) Math.min(MAX_CONNECTIONS, Math.max(1, descriptors / INTERNAL_DIVISOR)),
                 BODY_TIMEOUT);
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
@@ -31,6 +31,7 @@
 
     private final RequestMemory.Reservation memory;
     private final int maxBodyBytes;
+    private final boolean keepsBody;
     private HttpRequest head;
     private long headCostBytes;
     private byte[] body = EMPTY;
@@ -41,10 +42,12 @@
      *
      * @param memory memory of the request
      * @param maxBodyBytes largest body that is accepted
+     * @param keepsBody whether the body is needed; otherwise it is only counted
      */
-    ArrivingRequest(RequestMemory.Reservation memory, int maxBodyBytes) {
+    ArrivingRequest(RequestMemory.Reservation memory, int maxBodyBytes, boolean keepsBody) {
         this.memory = memory;
         this.maxBodyBytes = maxBodyBytes;
+        this.keepsBody = keepsBody;
     }
 
     HttpRequest head() {
@@ -86,7 +89,7 @@
         // A body of unknown length claims more one read before its memory is full.
         long needed = announced < 0 ? Math.min(largest, length + HttpServer.MAX_READ_BYTES) : announced;
         boolean small = (announced < 0 ? length : announced) <= UNCLAIMED_BODY_BYTES;
-        if (small || needed <= claimed) {
+        if (!keepsBody || small || needed <= claimed) {
             return true;
         }
         long wanted = Math.min(largest, announced < 0 ? 2 * needed : announced);
@@ -111,6 +114,10 @@
     /** Adds a part of the body, which must not exceed the limit; returns false if the request was refused. */
     boolean add(ByteBuf content) {
         int newLength = length + content.readableBytes();
+        if (!keepsBody) {
+            length = newLength;
+            return true;
+        }
         if (newLength > body.length) {
             int capacity = capacity(newLength);
             if (!memory.resize(headCostBytes + capacity)) {
@@ -135,7 +142,7 @@
 
     /** Returns the complete body. The memory stays reserved until it is released. */
     byte[] complete() {
-        byte[] complete = length == body.length ? body : Arrays.copyOf(body, length);
+        byte[] complete = length == body.length || !keepsBody ? body : Arrays.copyOf(body, length);
         body = EMPTY;
         memory.complete(headCostBytes + complete.length);
         return complete;
--- a/gateway/src/main/java/org/masticcroft/gateway/http/CallerPressure.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/CallerPressure.java
@@ -9,7 +9,7 @@
 
 /**
  * Owner of what the callers of a process make it hold: requests, unread responses and connections, each within its
- * budget. All servers of a process share one. Used on the event loop only.
+ * budget. All servers of a process share the memory. Used on the event loop only.
  */
 public final class CallerPressure {
     private final CallerBudgets budgets;
@@ -22,26 +22,41 @@
     private long loggedConnections;
     private long loggedStalledBodies;
 
-    private CallerPressure(CallerBudgets budgets) {
-        this.budgets = Objects.requireNonNull(budgets, "budgets");
-        this.requests = new RequestMemory(budgets.requestBytes());
-        this.unread = new UnreadResponses(budgets.unreadBytes());
-        this.connections = new ConnectionBudget(budgets.connections());
+    private CallerPressure(
+            CallerBudgets budgets, RequestMemory requests, UnreadResponses unread, ConnectionBudget connections) {
+        this.budgets = budgets;
+        this.requests = requests;
+        this.unread = unread;
+        this.connections = connections;
     }
 
     /** Creates an owner that holds nothing yet. */
     public static CallerPressure of(CallerBudgets budgets) {
-        return new CallerPressure(budgets);
+        Objects.requireNonNull(budgets, "budgets");
+        return new CallerPressure(
+                budgets,
+                new RequestMemory(budgets.requestBytes()),
+                new UnreadResponses(budgets.unreadBytes()),
+                new ConnectionBudget(budgets.connections()));
     }
 
-    /** Creates an owner without bounds, for servers that only the processes of the fleet and the platform use. */
+    /** Creates an owner without bounds, for callers that are trusted. */
     public static CallerPressure unbounded() {
         return of(CallerBudgets.unbounded());
     }
 
+    /**
+     * Returns an owner for the ports for metrics and readiness. It shares the memory with this one but has connections
+     * of its own, so that neither a crowd at those ports nor one at the port for callers shuts out the other.
+     */
+    public CallerPressure forInternalPorts() {
+        return new CallerPressure(budgets, requests, unread, new ConnectionBudget(budgets.internalConnections()));
+    }
+
     /** Exposes what is held and how often a budget was exhausted. */
     public void expose(ProcessMetrics metrics) {
         metrics.gauge(Series.of("masticcroft_caller_request_bytes"), requests::usedBytes);
+        metrics.gauge(Series.of("masticcroft_caller_requests_waiting"), requests::waiting);
         metrics.gauge(Series.of("masticcroft_caller_connections"), connections::open);
         metrics.gauge(Series.of("masticcroft_caller_requests_given_up_total"), requests::givenUp);
         metrics.gauge(Series.of("masticcroft_caller_unread_closed_total"), unread::closed);
@@ -71,6 +86,11 @@
                     budgets.unreadBytes());
             loggedUnread = unread.closed();
         }
+        writeConnections(log);
+    }
+
+    /** Logs what was done to connections since the last report, without what the ports share. */
+    public void writeConnections(DecisionLog log) {
         if (connections.closed() > loggedConnections) {
             log.write(
                     Event.CONNECTIONS_OVER_BUDGET,
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -57,6 +57,7 @@
     private final RequestHandler handler;
     private final CallerPressure pressure;
     private final Supplier<CallerLimits> limits;
+    private final boolean keepsBodies;
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Deque<ServerConnection> arrivals = new ArrayDeque<>();
     private boolean handling;
@@ -71,8 +72,10 @@
             InputClock inputs,
             Supplier<CallerLimits> limits,
             CallerPressure pressure,
+            boolean keepsBodies,
             RequestHandler handler) {
         this.pressure = pressure;
+        this.keepsBodies = keepsBodies;
         this.loop = loop;
         this.time = time;
         this.inputs = inputs;
@@ -123,6 +126,28 @@
                 Objects.requireNonNull(inputs, "inputs"),
                 Objects.requireNonNull(limits, "limits"),
                 Objects.requireNonNull(pressure, "pressure"),
+                true,
+                Objects.requireNonNull(handler, "handler"));
+    }
+
+    /**
+     * Creates a server for requests without a body, such as those for metrics. A body that comes all the same is read
+     * and dropped, so that it takes no memory.
+     *
+     * @param loop event loop
+     * @param time time source
+     * @param pressure owner of what the callers make the process hold
+     * @param handler handler of the requests, which gets empty bodies
+     */
+    public static HttpServer withoutBodies(
+            EventLoop loop, TimeSource time, CallerPressure pressure, RequestHandler handler) {
+        return new HttpServer(
+                Objects.requireNonNull(loop, "loop"),
+                Objects.requireNonNull(time, "time"),
+                InputClock.immediate(time),
+                CallerLimits::defaults,
+                Objects.requireNonNull(pressure, "pressure"),
+                false,
                 Objects.requireNonNull(handler, "handler"));
     }
 
@@ -208,6 +233,10 @@
         return pressure;
     }
 
+    boolean keepsBodies() {
+        return keepsBodies;
+    }
+
     /** Makes room from time to time while bodies wait for memory. */
     void bodyWaits() {
         if (!relieving) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -344,7 +344,8 @@
         if (arriving == null) {
             arriving = new ArrivingRequest(
                     server.pressure().requests().newReservation(this),
-                    server.limits().maxBodyBytes());
+                    server.limits().maxBodyBytes(),
+                    server.keepsBodies());
         }
         return arriving;
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/metrics/MetricsServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/metrics/MetricsServer.java
@@ -8,8 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Function;
-import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.http.CallerPressure;
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.kernel.time.TimeSource;
 
@@ -24,23 +24,35 @@
 
     private MetricsServer() {}
 
-    /** Starts to serve metrics at an address. */
-    public static void listen(EventLoop loop, TimeSource time, Address address, ProcessMetrics metrics) {
-        serve(loop, time, address, uri -> uri.equals(PATH) ? new Reply(200, metrics.text()) : Reply.NOT_FOUND);
+    /**
+     * Starts to serve metrics at an address.
+     *
+     * @param pressure owner of what the callers make the process hold
+     */
+    public static void listen(
+            EventLoop loop, TimeSource time, Address address, CallerPressure pressure, ProcessMetrics metrics) {
+        serve(
+                loop,
+                time,
+                address,
+                pressure,
+                uri -> uri.equals(PATH) ? new Reply(200, metrics.text()) : Reply.NOT_FOUND);
     }
 
     /**
      * Starts to serve metrics and explanations at an address.
      *
+     * @param pressure owner of what the callers make the process hold
      * @param explain returns the explanation for a URI; empty if its parameters are not valid
      */
     public static void listen(
             EventLoop loop,
             TimeSource time,
             Address address,
+            CallerPressure pressure,
             ProcessMetrics metrics,
             Function<String, Optional<String>> explain) {
-        serve(loop, time, address, uri -> {
+        serve(loop, time, address, pressure, uri -> {
             if (uri.startsWith(EXPLAIN_PATH)) {
                 return explain.apply(uri).map(text -> new Reply(200, text)).orElse(new Reply(400, ""));
             }
@@ -48,8 +60,13 @@
         });
     }
 
-    private static void serve(EventLoop loop, TimeSource time, Address address, Function<String, Reply> replies) {
-        HttpServer.of(loop, time, CallerLimits::defaults, (head, body, writer) -> {
+    private static void serve(
+            EventLoop loop,
+            TimeSource time,
+            Address address,
+            CallerPressure pressure,
+            Function<String, Reply> replies) {
+        HttpServer.withoutBodies(loop, time, pressure, (head, body, writer) -> {
                     Reply reply = replies.apply(head.uri());
                     HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE);
                     writer.writeFull(
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -61,7 +61,6 @@
 import org.masticcroft.gateway.load.DatagramPort;
 import org.masticcroft.gateway.load.DatagramTraffic;
 import org.masticcroft.gateway.log.DecisionLog;
-import org.masticcroft.gateway.loop.InputClock;
 import org.masticcroft.gateway.loop.LateInputReport;
 import org.masticcroft.gateway.metrics.MetricsServer;
 import org.masticcroft.gateway.metrics.ProcessMetrics;
@@ -125,6 +124,7 @@
     private final ColdUpstreams coldUpstreams;
     private final UpstreamChooser chooser;
     private final CallerPressure callerPressure;
+    private final CallerPressure internalPressure;
     private final HttpServer callerServer;
     private final GracefulStop stop;
     private final HttpServer readinessServer;
@@ -207,8 +207,8 @@
                 HttpServer.of(loop, time, dependencies.inputs(), this::limits, callerPressure, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
-        this.readinessServer = HttpServer.of(
-                loop, time, InputClock.immediate(time), CallerLimits::defaults, callerPressure, this::handleReadiness);
+        this.internalPressure = callerPressure.forInternalPorts();
+        this.readinessServer = HttpServer.withoutBodies(loop, time, internalPressure, this::handleReadiness);
         FleetStore store = dependencies.store();
         this.operatorFollower = DirectoryFollower.of(Directory.OPERATOR, store, loop, time, OPERATOR_READS, fleet, log);
         this.upstreamsFollower =
@@ -239,7 +239,7 @@
                 .schedule(loop, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
-        RepeatingTask.of("caller-pressure", () -> callerPressure.write(log), log)
+        RepeatingTask.of("caller-pressure", this::logPressure, log)
                 .schedule(loop, SUBSCRIBE_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
         RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
                 .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
@@ -249,6 +249,11 @@
                 .schedule(loop, CHECK_INTERVAL_MILLIS, SUBSCRIBE_INTERVAL_MILLIS);
     }
 
+    private void logPressure() {
+        callerPressure.write(log);
+        internalPressure.writeConnections(log);
+    }
+
     private void exposeMetrics() {
         metrics.gauge(Series.of("masticcroft_requests_open"), openExchanges::size);
         metrics.gauge(Series.of("masticcroft_response_bytes_buffered"), responseMemory::usedBytes);
@@ -277,7 +282,9 @@
                 fleet,
                 configValidity,
                 (request, service) -> queue(service).forecast(request, profile(service), versionLimit(service)));
-        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics, explainer::explain));
+        settings.metrics()
+                .ifPresent(address ->
+                        MetricsServer.listen(loop, time, address, internalPressure, metrics, explainer::explain));
     }
 
     @Override
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.masticcroft.gateway.config.CallerLimits;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryReply;
 import org.masticcroft.gateway.fleet.FleetChange;
@@ -18,6 +17,7 @@
 import org.masticcroft.gateway.generated.HeldPieces;
 import org.masticcroft.gateway.generated.NamedWeights;
 import org.masticcroft.gateway.http.Address;
+import org.masticcroft.gateway.http.CallerPressure;
 import org.masticcroft.gateway.http.HttpServer;
 import org.masticcroft.gateway.http.ResponseWriter;
 import org.masticcroft.gateway.load.DatagramPort;
@@ -44,6 +44,9 @@
     /** Interval between reads of the engine's report; the reads do not leave the machine. */
     private static final long ENGINE_REPORT_INTERVAL_MILLIS = 200;
 
+    /** Interval at which exhausted budgets are logged. */
+    private static final long PRESSURE_INTERVAL_MILLIS = 1000;
+
     /**
      * Interval between reads of the engine's report while it loads weights. A load takes about 300 ms, and the entries
      * wait for its end.
@@ -81,6 +84,8 @@
     private final NodeDependencies dependencies;
     private final LocalEngine engine;
     private final DatagramPort datagrams;
+    private final CallerPressure peerPressure;
+    private final CallerPressure internalPressure;
     private final HttpServer peerServer;
     private final ProcessMetrics metrics;
     private final LateInputReport lateInputs;
@@ -127,7 +132,9 @@
         this.lateInputs = LateInputReport.of(dependencies.inputs(), log);
         this.updater = WeightsUpdater.of(
                 settings, dependencies, engine, sources, metrics, this::announceManifest, this::sendLastLoad);
-        this.peerServer = HttpServer.of(loop, time, CallerLimits::defaults, this::servePeer);
+        this.peerPressure = CallerPressure.of(settings.callerBudgets());
+        this.internalPressure = peerPressure.forInternalPorts();
+        this.peerServer = HttpServer.withoutBodies(loop, time, peerPressure, this::servePeer);
     }
 
     /**
@@ -159,7 +166,8 @@
         metrics.gauge(Series.of("masticcroft_log_lines_dropped"), log::dropped);
         lateInputs.expose(metrics);
         datagrams.traffic().expose(metrics);
-        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, metrics));
+        peerPressure.expose(metrics);
+        settings.metrics().ifPresent(address -> MetricsServer.listen(loop, time, address, internalPressure, metrics));
 
         dependencies.store().era().addListener(this::readAgainAfterRestore);
         loop.execute(this::readOperatorDirectory);
@@ -167,10 +175,17 @@
                 .schedule(loop, ENGINE_REPORT_INTERVAL_MILLIS, ENGINE_REPORT_INTERVAL_MILLIS);
         RepeatingTask.of("late-inputs", lateInputs::write, log)
                 .schedule(loop, LateInputReport.INTERVAL_MILLIS, LateInputReport.INTERVAL_MILLIS);
+        RepeatingTask.of("caller-pressure", this::logPressure, log)
+                .schedule(loop, PRESSURE_INTERVAL_MILLIS, PRESSURE_INTERVAL_MILLIS);
         RepeatingTask.of("datagram-traffic", datagrams.traffic()::write, log)
                 .schedule(loop, DatagramTraffic.INTERVAL_MILLIS, DatagramTraffic.INTERVAL_MILLIS);
     }
 
+    private void logPressure() {
+        peerPressure.write(log);
+        internalPressure.writeConnections(log);
+    }
+
     @Override
     public void stop(long requestedNanos, Runnable finished) {
         loop.execute(finished);
