Keep requests waiting while the process has no connection for an upstream

A mix of all crowds at the port for callers ended an entry with 400 descriptors. Its log: NoClassDefFoundError of ZoneRulesProvider, "Unable to load TZDB time-zone rules", on the event loop.

Cause: each open request may need a connection to an upstream, up to the slots of all upstreams. Together with the connections of callers they used up the descriptors. What fails then is whatever opens a file next; here it was the logger of a failed task, whose error ended the thread of the event loop and so the process.

Beyond it idle connections are closed; once all are in use, the placement rule ConnectionRoom (decision CONNECTIONS_USED) keeps requests in the queue, whose forecast refuses at once what cannot be served in time. Calls to the store and the fleet are not held up. callers.internal-connections is now 1/32 of the descriptors, so that more are left for upstreams.

Why it works: callers, internal connections, those accepted but closed again, and upstreams add up to less than the descriptors, whatever callers send (CallerBudgetsTest neverUseUpTheDescriptors).

--- a/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -17,10 +17,16 @@
  * @param unreadBytes memory for responses that their callers have not read
  * @param connections connections of callers, or of other sidecars
  * @param internalConnections connections to the ports for metrics and readiness
+ * @param upstreamConnections connections to upstreams, beyond which requests wait
  * @param bodyTimeout longest time for which a body that has begun may stop arriving, or wait for memory
  */
 public record CallerBudgets(
-        long requestBytes, long unreadBytes, int connections, int internalConnections, Duration bodyTimeout) {
+        long requestBytes,
+        long unreadBytes,
+        int connections,
+        int internalConnections,
+        int upstreamConnections,
+        Duration bodyTimeout) {
     /** Fraction of the heap for requests, as a divisor; six of the largest legal bodies at a heap of 96 MB. */
     private static final int REQUESTS_DIVISOR = 4;
 
@@ -31,7 +37,15 @@
     private static final double CONNECTIONS_SHARE = 0.625;
 
     /** Fraction of the descriptors for connections to the ports for metrics and readiness, as a divisor. */
-    private static final int INTERNAL_DIVISOR = 16;
+    private static final int INTERNAL_DIVISOR = 32;
+
+    /** Connections that are accepted before others are closed for them, as a fraction of the budget. */
+    private static final int ACCEPTED_DIVISOR = 8;
+
+    /** Descriptors for files, listeners and the store; a limit below 1600 has fewer. */
+    private static final int OTHER_DESCRIPTORS = 200;
+
+    private static final int OTHER_DIVISOR = 8;
 
     /** Longer than a short loss of the caller's link, shorter than the usual idle timeout of 15 s. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
@@ -54,6 +68,7 @@
                 || unreadBytes <= 0
                 || connections <= 0
                 || internalConnections <= 0
+                || upstreamConnections <= 0
                 || bodyTimeout.isNegative()) {
             throw new IllegalArgumentException("budgets must be positive");
         }
@@ -78,16 +93,26 @@
 
     /** Returns budgets that no caller reaches. */
     public static CallerBudgets unbounded() {
-        return new CallerBudgets(Long.MAX_VALUE, Long.MAX_VALUE, MAX_CONNECTIONS, MAX_CONNECTIONS, Duration.ofDays(1));
+        return new CallerBudgets(
+                Long.MAX_VALUE, Long.MAX_VALUE, MAX_CONNECTIONS, MAX_CONNECTIONS, MAX_CONNECTIONS, Duration.ofDays(1));
     }
 
     /** Returns the budgets for a heap of the given size in bytes and a limit of the file descriptors. */
     static CallerBudgets of(long heapBytes, long descriptors) {
+        int callers = count(descriptors * CONNECTIONS_SHARE);
+        int internal = count((double) descriptors / INTERNAL_DIVISOR);
+        int accepted = (callers + internal) / ACCEPTED_DIVISOR;
+        long other = Math.min(OTHER_DESCRIPTORS, descriptors / OTHER_DIVISOR);
         return new CallerBudgets(
                 heapBytes / REQUESTS_DIVISOR,
                 heapBytes / UNREAD_DIVISOR,
-                (int) Math.min(MAX_CONNECTIONS, Math.max(1, (long) (descriptors * CONNECTIONS_SHARE))),
-                (int) Math.min(MAX_CONNECTIONS, Math.max(1, descriptors / INTERNAL_DIVISOR)),
+                callers,
+                internal,
+                count(descriptors - callers - internal - accepted - other),
                 BODY_TIMEOUT);
     }
+
+    private static int count(double descriptors) {
+        return (int) Math.min(MAX_CONNECTIONS, Math.max(1, descriptors));
+    }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PlacementDecision.java
@@ -15,7 +15,9 @@
     /** The requests at the upstream leave too little of its memory. */
     MEMORY_FULL(false),
     /** This entry has used its share of the free slots of the upstream until the next load report. */
-    SLOT_SHARE_USED(false);
+    SLOT_SHARE_USED(false),
+    /** The process has used up its connections to upstreams. */
+    CONNECTIONS_USED(false);
 
     private final boolean lasting;
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -59,10 +59,15 @@
     }
 
     boolean reusableWithin(Duration maxIdle) {
-        Duration idleTime = client.time().since(idleSinceNanos);
+        Duration idleTime = idleTime();
         return context.channel().isActive() && idleTime.compareTo(maxIdle) <= 0 && idleTime.compareTo(idleTimeout) < 0;
     }
 
+    /** Returns the time since the last response on the connection. */
+    Duration idleTime() {
+        return client.time().since(idleSinceNanos);
+    }
+
     /**
      * Returns whether the connection has carried a request with the id. A late copy of its response could not be told
      * from the response to another request with the same id. May also be true for an id with the same hash, which costs
--- a/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -37,17 +38,31 @@
 
     private final EventLoop loop;
     private final TimeSource time;
+    private final int maxConnections;
     private final Map<Address, Deque<ClientConnection>> idle = new HashMap<>();
+    private int open;
 
-    private PooledHttpClient(EventLoop loop, TimeSource time) {
+    private PooledHttpClient(EventLoop loop, TimeSource time, int maxConnections) {
         this.loop = loop;
         this.time = time;
+        this.maxConnections = maxConnections;
     }
 
-    /** Creates a client that runs on the given event loop. */
+    /** Creates a client that runs on the given event loop and opens as many connections as it needs. */
     public static PooledHttpClient of(EventLoop loop, TimeSource time) {
-        PooledHttpClient client =
-                new PooledHttpClient(Objects.requireNonNull(loop, "loop"), Objects.requireNonNull(time, "time"));
+        return of(loop, time, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a client that runs on the given event loop.
+     *
+     * @param loop event loop
+     * @param time time source
+     * @param maxConnections connections from which idle ones are closed for new ones; see {@link #hasRoom()}
+     */
+    public static PooledHttpClient of(EventLoop loop, TimeSource time, int maxConnections) {
+        PooledHttpClient client = new PooledHttpClient(
+                Objects.requireNonNull(loop, "loop"), Objects.requireNonNull(time, "time"), maxConnections);
         loop.scheduleAtFixedRate(
                 client::closeExpired, IDLE_CHECK_INTERVAL_MILLIS, IDLE_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return client;
@@ -72,6 +87,30 @@
         return pending;
     }
 
+    /**
+     * Returns whether a further call stays within the limit of the connections. A call beyond it is sent all the same,
+     * so that a process that is short of descriptors still reaches the store.
+     */
+    public boolean hasRoom() {
+        return open < maxConnections || longestIdle() != null;
+    }
+
+    private ClientConnection longestIdle() {
+        return idle.values().stream()
+                .map(Deque::peekFirst)
+                .filter(Objects::nonNull)
+                .min(Comparator.comparing(ClientConnection::idleTime).reversed())
+                .orElse(null);
+    }
+
+    private void closeLongestIdle() {
+        ClientConnection longestIdle = longestIdle();
+        if (longestIdle != null) {
+            removeIdle(longestIdle);
+            longestIdle.close();
+        }
+    }
+
     /** Closes the idle connections to an address; for use when the process at the address has ended. */
     public void closeIdle(Address address) {
         Deque<ClientConnection> connections = idle.remove(address);
@@ -127,6 +166,9 @@
     }
 
     private void connect(Address address, PendingCall pending) {
+        if (open >= maxConnections) {
+            closeLongestIdle();
+        }
         ClientConnection handler = new ClientConnection(this, address);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
@@ -140,6 +182,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        open++;
+                        channel.closeFuture().addListener(closed -> open--);
                         channel.pipeline()
                                 .addLast(
                                         new HttpClientCodec(
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -23,6 +23,7 @@
 import org.masticcroft.gateway.config.Route;
 import org.masticcroft.gateway.dispatch.AllowedRegionsRule;
 import org.masticcroft.gateway.dispatch.ColdUpstreams;
+import org.masticcroft.gateway.dispatch.ConnectionRoom;
 import org.masticcroft.gateway.dispatch.CrashSuspects;
 import org.masticcroft.gateway.dispatch.EngineMemory;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
@@ -201,7 +202,8 @@
                         coldUpstreams,
                         EngineMemory.of(fleet::profile, log),
                         SlotShare.of(settings.ip(), fleet::profile, upstreams::statedEntries),
-                        GradualRefill.of(fleet.evacuations(), dependencies.random())));
+                        GradualRefill.of(fleet.evacuations(), dependencies.random()),
+                        ConnectionRoom.of(httpClient::hasRoom)));
         this.callerPressure = CallerPressure.of(settings.callerBudgets());
         this.callerServer =
                 HttpServer.of(loop, time, dependencies.inputs(), this::limits, callerPressure, this::handle);
--- a/gateway/src/test/java/org/masticcroft/gateway/config/CallerBudgetsTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/config/CallerBudgetsTest.java
@@ -29,5 +29,12 @@
             assertThat(DESCRIPTORS - budgets.connections() - acceptedAtOnce - internal)
                     .isGreaterThan(36 * 12);
         }
+
+        /** Guards against connections that use up the descriptors together; the platform keeps 200 for files. */
+        @Test
+        void neverUseUpTheDescriptors() {
+            int fromCallers = budgets.connections() + budgets.internalConnections();
+            assertThat(fromCallers * 9 / 8 + budgets.upstreamConnections()).isLessThanOrEqualTo(DESCRIPTORS - 200);
+        }
     }
 }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -134,7 +134,7 @@
         /** Guards against callers that hold memory with a body that never ends. */
         @Test
         void thatStopBeforeTheirEndAreRefused() throws Exception {
-            CallerBudgets budgets = new CallerBudgets(100_000, 100_000, 10, 10, Duration.ofMillis(1500));
+            CallerBudgets budgets = new CallerBudgets(100_000, 100_000, 10, 10, 10, Duration.ofMillis(1500));
             Address limited = new Address("127.0.0.1", freePort());
             HttpServer.of(
                             loop,
@@ -184,7 +184,7 @@
                             TimeSource.system(),
                             InputClock.immediate(TimeSource.system()),
                             () -> LIMITS,
-                            CallerPressure.of(new CallerBudgets(100_000, 100_000, 1, 1, Duration.ofSeconds(9))),
+                            CallerPressure.of(new CallerBudgets(100_000, 100_000, 1, 1, 1, Duration.ofSeconds(9))),
                             (head, body, writer) -> open.complete(writer))
                     .listen(limited);
             try (Socket first = new Socket("127.0.0.1", limited.port())) {
