--- a/standins/src/main/java/org/masticcroft/standins/platform/ScriptedUpstream.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/ScriptedUpstream.java
@@ -24,6 +24,7 @@
     private final List<Request> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile Script script;
+    private volatile boolean keepsBodies = true;
 
     private ScriptedUpstream(ServerSocket listener, Script script) {
         this.listener = listener;
@@ -42,6 +43,12 @@
         }
     }
 
+    /** Records the requests without their bodies from now on, which saves the memory for many large ones. */
+    public ScriptedUpstream withoutBodies() {
+        keepsBodies = false;
+        return this;
+    }
+
     public int port() {
         return listener.getLocalPort();
     }
@@ -79,7 +86,7 @@
         try {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Request request = read(in); request != null; request = read(in)) {
-                requests.add(request);
+                requests.add(keepsBodies ? request : new Request(request.line(), request.headers(), new byte[0]));
                 script.serve(request, new Answer(socket, in));
             }
         } catch (IOException e) {
