--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -152,6 +152,37 @@
             }
         }
 
+        /** Guards against reading, or waiting for, a body that is refused in any case. */
+        @Test
+        void thatAnnounceTooMuchAreRefusedAtTheirHead() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4001\r\n\r\n");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 413");
+            }
+        }
+
+        /** Guards against bodies that are kept by a server whose requests have none, or taken for the next request. */
+        @Test
+        void areDroppedWhereNoneIsExpected() throws Exception {
+            Address internal = new Address("127.0.0.1", freePort());
+            HttpServer.withoutBodies(loop, TimeSource.system(), CallerPressure.unbounded(), (head, body, writer) -> {
+                        byte[] length = Integer.toString(body.length).getBytes(ISO_8859_1);
+                        writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(length));
+                    })
+                    .listen(internal);
+            try (Socket socket = new Socket("127.0.0.1", internal.port())) {
+                socket.setSoTimeout(10_000);
+                write(socket, "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n" + "b".repeat(3000));
+                write(socket, REQUEST.replace("Host", "Connection: close\r\nHost"));
+
+                assertThat(readToEnd(socket).split("HTTP/1.1 200 OK"))
+                        .hasSize(3)
+                        .allSatisfy(response -> assertThat(response.isEmpty() || response.endsWith("0"))
+                                .isTrue());
+            }
+        }
+
         /** Guards against bytes that are lost or mixed up where the array of a body grows. */
         @Test
         void inSmallChunksArriveWhole() throws Exception {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -84,6 +84,33 @@
         loop.execute(() -> client.send(server.address(), request, MAX_IDLE, recorder));
     }
 
+    @Nested
+    class TheConnectionsOfAClient {
+        private final PooledHttpClient limited = PooledHttpClient.of(loop, TimeSource.system(), 1);
+
+        /** Guards against a client that uses up the descriptors, or that counts idle connections as used. */
+        @Test
+        void leaveRoomWhileOneIsIdle() throws Exception {
+            CountDownLatch answer = new CountDownLatch(1);
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                awaitQuietly(answer);
+                out.write(MisbehavingServer.bytes(response("r", "own")));
+            })) {
+                assertThat(loop.submit(limited::hasRoom).get()).isTrue();
+                Recorder recorder = new Recorder("r");
+                DefaultFullHttpRequest request =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/r", Unpooled.EMPTY_BUFFER);
+                loop.submit(() -> limited.send(server.address(), request, MAX_IDLE, recorder))
+                        .get();
+                assertThat(loop.submit(limited::hasRoom).get()).isFalse();
+
+                answer.countDown();
+                assertThat(recorder.await()).isEqualTo("own");
+                assertThat(loop.submit(limited::hasRoom).get()).isTrue();
+            }
+        }
+    }
+
     @Nested
     class LateResponses {
         /** Guards against a caller that gets the second copy of the response to an earlier request. */
