Name the parts of the request memory for a reader

Cause: relieve sorted by size and called the list slowest, lags had an unused parameter, HttpServer and ServerConnection had methods named bodyWaits that do different things, and the fields of a claim were unexplained. Change: names and comments only. Result: HttpServerTest, PooledHttpClientTest, RequestMemoryTest and ConnectionCloseTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -237,8 +237,8 @@
         return keepsBodies;
     }
 
-    /** Makes room from time to time while bodies wait for memory. */
-    void bodyWaits() {
+    /** Makes room from time to time as long as bodies wait for memory. */
+    void relieveSoon() {
         if (!relieving) {
             relieving = true;
             loop.schedule(this::relieve, RELIEF_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -249,7 +249,7 @@
         relieving = false;
         pressure.requests().relieve(time.nanoTime(), pressure.budgets().bodyTimeout());
         if (pressure.requests().waiting() > 0) {
-            bodyWaits();
+            relieveSoon();
         }
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
@@ -86,16 +86,16 @@
                 reservation.giveUp();
             }
         }
-        List<Reservation> slowest = new ArrayList<>(arriving);
-        slowest.sort(LARGEST_FIRST);
-        for (Reservation reservation : slowest) {
+        List<Reservation> largestFirst = new ArrayList<>(arriving);
+        largestFirst.sort(LARGEST_FIRST);
+        for (Reservation reservation : largestFirst) {
             if (waiting.isEmpty()) {
                 return;
             }
-            if (reservation.lags(nowNanos, bodyTime)) {
+            if (reservation.lags(nowNanos)) {
                 // The event loop may be late, and the caller not.
                 reservation.owner.readReceived();
-                if (reservation.lags(nowNanos, bodyTime)) {
+                if (reservation.lags(nowNanos)) {
                     reservation.giveUp();
                 }
             }
@@ -173,7 +173,10 @@
         private final Owner owner;
         private long bytes;
         private long claimedBytes;
+
+        /** The newest claim: its size, and the largest size to which the request may still raise it. */
         private long wantedBytes;
+
         private long largestBytes;
         private long waitingSinceNanos;
 
@@ -250,7 +253,13 @@
             paced = true;
         }
 
-        /** Notes the arrival of a part of the body. */
+        /**
+         * Notes the arrival of a part of the body.
+         *
+         * @param partBytes size of the part
+         * @param nowNanos monotonic time
+         * @param bodyTime time in which the whole body arrives at the least pace
+         */
         void arrived(int partBytes, long nowNanos, Duration bodyTime) {
             double share = (double) partBytes / Math.max(1, bytes);
             paceNanos = Math.min(nowNanos, paceNanos + (long) (share * bodyTime.toNanos()));
@@ -274,6 +283,7 @@
             }
         }
 
+        /** Grants the wanted claim, or at once the largest one, for which others have left room; false if none fits. */
         private boolean admit() {
             boolean last = wantedBytes >= largestBytes;
             long limit = claimLimit(largestBytes);
@@ -288,7 +298,7 @@
             return true;
         }
 
-        private boolean lags(long nowNanos, Duration bodyTime) {
+        private boolean lags(long nowNanos) {
             return paced
                     && !released
                     && arriving.contains(this)
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -267,7 +267,7 @@
             }
         } else if (bodyWaits()) {
             updateReading();
-            server.bodyWaits();
+            server.relieveSoon();
         }
     }
 
