Compute the budgets from the descriptors that the platform states

Cause: the budgets were computed from /proc/self/limits. On the platform that is the limit for files; sockets share the remainder of max-fds.

SettingsFileTest and CallerBudgetsTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -74,9 +74,18 @@
         }
     }
 
-    /** Returns the budgets for the heap and the descriptors of this process. */
+    /** Returns the budgets for the heap of this process and the limit of its descriptors. */
     public static CallerBudgets ofProcess() {
-        return of(Runtime.getRuntime().maxMemory(), maxDescriptors());
+        return ofProcess(maxDescriptors());
+    }
+
+    /**
+     * Returns the budgets for the heap of this process.
+     *
+     * @param descriptors descriptors of the process
+     */
+    public static CallerBudgets ofProcess(long descriptors) {
+        return of(Runtime.getRuntime().maxMemory(), descriptors);
     }
 
     private static long maxDescriptors() {
