Give each task of InputTimesTest a turn of the event loop of its own

Cause: the event loop runs submitted tasks until its queue is empty, so tasks that are submitted quickly enough share a turn, and no selection lies between them. The test took each task for a turn. A scheduled task is fetched at the begin of the tasks of a turn only, so each one has a turn of its own; what the test asserts is as before.

--- a/gateway/src/test/java/org/masticcroft/gateway/loop/InputTimesTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/loop/InputTimesTest.java
@@ -114,11 +114,11 @@
         @Test
         void notesEachSelection() throws Exception {
             EventLoop loop = (EventLoop) group.next();
-            long first = loop.submit(inputs::earliestArrivalNanos).get();
-            loop.submit(() -> {}).get();
-            loop.submit(() -> {}).get();
+            long first = inLaterTurn(loop);
+            inLaterTurn(loop);
+            inLaterTurn(loop);
 
-            long later = loop.submit(inputs::earliestArrivalNanos).get();
+            long later = inLaterTurn(loop);
 
             assertThat(later).isGreaterThan(first);
         }
@@ -190,6 +190,12 @@
             assertThat(countedAsLaterThanSent(earliest, sent)).isEmpty();
         }
 
+        /** Returns the earliest arrival in a later turn; submitted tasks may share the turn of the task before. */
+        private long inLaterTurn(EventLoop loop) throws Exception {
+            return loop.schedule(inputs::earliestArrivalNanos, 1, TimeUnit.MILLISECONDS)
+                    .get();
+        }
+
         private static List<String> countedAsLaterThanSent(Map<String, Long> earliest, Map<String, Long> sent) {
             return earliest.keySet().stream()
                     .filter(input -> earliest.get(input) - sent.get(input) > 0)
