Let bodies wait for memory as long as their callers wait

Callers of legal requests got 503 after callers.body-timeout.ms (10 s) although their deadlines were later: with a slow upstream, the bodies in service hold the memory for longer than that. Others whose deadlines had passed kept waiting until the same time.

Cause: RequestMemory bounded each wait by the body timeout, which says how long a caller may stop sending and not how long it waits. The entry now tells the server the time limit of a request from its head: the deadline that the caller states, or the limit of its route if that is shorter. A body waits until then; without a route the body timeout still applies.

UntrustedCallersTest, RequestMemoryTest and HttpServerTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
@@ -80,9 +80,10 @@
      * Claims memory for the body, as far as its length is known.
      *
      * @param nowNanos monotonic time
+     * @param waitEndNanos monotonic time up to which the body may wait for the memory
      * @return whether the body may be read on; if not, the request waits for memory or was refused
      */
-    boolean claimBody(long nowNanos) {
+    boolean claimBody(long nowNanos, long waitEndNanos) {
         long claimed = memory.claimedBytes() - headCostBytes;
         long announced = HttpUtil.getContentLength(head, -1L);
         long largest = announced < 0 ? maxBodyBytes : announced;
@@ -93,7 +94,8 @@
             return true;
         }
         long wanted = Math.min(largest, announced < 0 ? 2 * needed : announced);
-        return !memory.waiting() && memory.claim(headCostBytes + wanted, headCostBytes + largest, nowNanos);
+        return !memory.waiting()
+                && memory.claim(headCostBytes + wanted, headCostBytes + largest, nowNanos, waitEndNanos);
     }
 
     /** Returns whether the body waits for memory. */
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -57,6 +57,7 @@
     private final RequestHandler handler;
     private final CallerPressure pressure;
     private final Supplier<CallerLimits> limits;
+    private final CallerPatience patience;
     private final boolean keepsBodies;
     private final Set<ServerConnection> connections = new HashSet<>();
     private final Deque<ServerConnection> arrivals = new ArrayDeque<>();
@@ -72,9 +73,11 @@
             InputClock inputs,
             Supplier<CallerLimits> limits,
             CallerPressure pressure,
+            CallerPatience patience,
             boolean keepsBodies,
             RequestHandler handler) {
         this.pressure = pressure;
+        this.patience = patience;
         this.keepsBodies = keepsBodies;
         this.loop = loop;
         this.time = time;
@@ -100,7 +103,7 @@
      */
     public static HttpServer of(
             EventLoop loop, TimeSource time, InputClock inputs, Supplier<CallerLimits> limits, RequestHandler handler) {
-        return of(loop, time, inputs, limits, CallerPressure.unbounded(), handler);
+        return of(loop, time, inputs, limits, CallerPressure.unbounded(), CallerPatience.unknown(), handler);
     }
 
     /**
@@ -111,6 +114,7 @@
      * @param inputs bounds when a request has arrived
      * @param limits limits of the callers, which may change
      * @param pressure owner of what the callers make the process hold
+     * @param patience tells how long a body may wait for memory
      * @param handler handler of the requests
      */
     public static HttpServer of(
@@ -119,6 +123,7 @@
             InputClock inputs,
             Supplier<CallerLimits> limits,
             CallerPressure pressure,
+            CallerPatience patience,
             RequestHandler handler) {
         return new HttpServer(
                 Objects.requireNonNull(loop, "loop"),
@@ -126,6 +131,7 @@
                 Objects.requireNonNull(inputs, "inputs"),
                 Objects.requireNonNull(limits, "limits"),
                 Objects.requireNonNull(pressure, "pressure"),
+                Objects.requireNonNull(patience, "patience"),
                 true,
                 Objects.requireNonNull(handler, "handler"));
     }
@@ -147,6 +153,7 @@
                 InputClock.immediate(time),
                 CallerLimits::defaults,
                 Objects.requireNonNull(pressure, "pressure"),
+                CallerPatience.unknown(),
                 false,
                 Objects.requireNonNull(handler, "handler"));
     }
@@ -233,6 +240,10 @@
         return pressure;
     }
 
+    CallerPatience patience() {
+        return patience;
+    }
+
     boolean keepsBodies() {
         return keepsBodies;
     }
@@ -247,7 +258,7 @@
 
     private void relieve() {
         relieving = false;
-        pressure.requests().relieve(time.nanoTime(), pressure.budgets().bodyTimeout());
+        pressure.requests().relieve(time.nanoTime());
         if (pressure.requests().waiting() > 0) {
             relieveSoon();
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
@@ -78,11 +78,10 @@
      * Makes room for waiting requests: gives up those that have waited too long, and bodies that arrive too slowly.
      *
      * @param nowNanos monotonic time
-     * @param bodyTime longest time for which a body may wait, and in which it must be complete while others wait
      */
-    void relieve(long nowNanos, Duration bodyTime) {
+    void relieve(long nowNanos) {
         for (Reservation reservation : List.copyOf(waiting)) {
-            if (nowNanos - reservation.waitingSinceNanos > bodyTime.toNanos()) {
+            if (nowNanos - reservation.waitEndNanos > 0) {
                 reservation.giveUp();
             }
         }
@@ -178,7 +177,7 @@
         private long wantedBytes;
 
         private long largestBytes;
-        private long waitingSinceNanos;
+        private long waitEndNanos;
 
         /** Time up to which the arrived part of the body keeps the pace. */
         private long paceNanos;
@@ -215,9 +214,10 @@
          * @param wanted needed bytes
          * @param largest bytes that the request may need at most
          * @param nowNanos monotonic time
+         * @param waitEndNanos monotonic time up to which the request may wait
          * @return whether the body may be read; otherwise {@link Owner#admitted()} is called once it may be
          */
-        boolean claim(long wanted, long largest, long nowNanos) {
+        boolean claim(long wanted, long largest, long nowNanos, long waitEndNanos) {
             if (released) {
                 return false;
             }
@@ -232,7 +232,7 @@
                 giveUp();
                 return false;
             }
-            waitingSinceNanos = nowNanos;
+            this.waitEndNanos = waitEndNanos;
             waiting.add(this);
             return false;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -261,7 +261,8 @@
     /** Claims memory for the body. The connection is not read until there is enough. */
     private void claimBody() {
         boolean begun = arriving.length() > 0;
-        if (arriving.claimBody(server.time().nanoTime())) {
+        long now = server.time().nanoTime();
+        if (arriving.claimBody(now, waitEndNanos(now))) {
             if (!begun) {
                 askForBody();
             }
@@ -271,6 +272,14 @@
         }
     }
 
+    /** Returns the monotonic time in nanoseconds up to which the body of the arriving request may wait for memory. */
+    private long waitEndNanos(long now) {
+        return server.patience()
+                .timeLimit(arriving.head())
+                .map(limit -> headTimer.earliestArrivalNanos() + limit.toNanos())
+                .orElseGet(() -> now + server.pressure().budgets().bodyTimeout().toNanos());
+    }
+
     private void askForBody() {
         if (HttpUtil.is100ContinueExpected(arriving.head())) {
             context.writeAndFlush(new DefaultFullHttpResponse(
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -95,6 +95,7 @@
     private static final double RETRY_SHARE_FRACTION = 0.7;
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+    private static final byte[] NO_BODY = {};
     private static final long QUEUE_INTERVAL_MILLIS = 20;
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long SUBSCRIBE_INTERVAL_MILLIS = 1000;
@@ -205,8 +206,8 @@
                         GradualRefill.of(fleet.evacuations(), dependencies.random()),
                         ConnectionRoom.of(httpClient::hasRoom)));
         this.callerPressure = CallerPressure.of(settings.callerBudgets());
-        this.callerServer =
-                HttpServer.of(loop, time, dependencies.inputs(), this::limits, callerPressure, this::handle);
+        this.callerServer = HttpServer.of(
+                loop, time, dependencies.inputs(), this::limits, callerPressure, this::timeLimit, this::handle);
         this.stop = new GracefulStop(loop, time, callerServer, settings.bounds().openRequestsEnd());
         this.filter = new RequestFilter(this, fleet, configValidity, stop, suspects, promptParts, responseTimes);
         this.internalPressure = callerPressure.forInternalPorts();
@@ -601,6 +602,10 @@
         return fleet.config().map(GatewayConfig::limits).orElse(CallerLimits.defaults());
     }
 
+    private Optional<Duration> timeLimit(HttpRequest head) {
+        return filter.timeLimit(dialect.decode(head, NO_BODY));
+    }
+
     private void handle(HttpRequest head, byte[] body, ResponseWriter writer) {
         checkSuspension();
         filter.handle(dialect.decode(head, body), writer);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/RequestFilter.java
@@ -54,6 +54,13 @@
         this.responseTimes = responseTimes;
     }
 
+    /** Returns the time after its arrival for which a request may wait for its response; empty without a route. */
+    Optional<Duration> timeLimit(CallerRequest request) {
+        return fleet.config()
+                .flatMap(config -> config.route(request.host(), request.path()))
+                .map(route -> route.timeLimit(request.deadline()));
+    }
+
     /** Starts the exchange of a request that passes all checks and refuses any other. */
     void handle(CallerRequest request, ResponseWriter writer) {
         if (!fleet.complete()) {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -142,6 +142,7 @@
                             InputClock.immediate(TimeSource.system()),
                             () -> LIMITS,
                             CallerPressure.of(budgets),
+                            CallerPatience.unknown(),
                             (head, body, writer) -> {})
                     .listen(limited);
             try (Socket socket = new Socket("127.0.0.1", limited.port())) {
@@ -216,6 +217,7 @@
                             InputClock.immediate(TimeSource.system()),
                             () -> LIMITS,
                             CallerPressure.of(new CallerBudgets(100_000, 100_000, 1, 1, 1, Duration.ofSeconds(9))),
+                            CallerPatience.unknown(),
                             (head, body, writer) -> open.complete(writer))
                     .listen(limited);
             try (Socket first = new Socket("127.0.0.1", limited.port())) {
