Look up how long a caller waits only once its body waits

The time limit of each request with a body was looked up at its head and at each part of the body, although it matters only to bodies that wait for memory: the headers were decoded and the route searched twice for every request. RequestMemory now asks for it when a body begins to wait.

RequestMemoryTest and HttpServerTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ArrivingRequest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * A request that is being read. The body is copied into one array that grows, because the buffers of many small chunks
@@ -80,10 +81,10 @@
      * Claims memory for the body, as far as its length is known.
      *
      * @param nowNanos monotonic time
-     * @param waitEndNanos monotonic time up to which the body may wait for the memory
+     * @param waitEndNanos returns the monotonic time up to which the body may wait for the memory
      * @return whether the body may be read on; if not, the request waits for memory or was refused
      */
-    boolean claimBody(long nowNanos, long waitEndNanos) {
+    boolean claimBody(long nowNanos, LongSupplier waitEndNanos) {
         long claimed = memory.claimedBytes() - headCostBytes;
         long announced = HttpUtil.getContentLength(head, -1L);
         long largest = announced < 0 ? maxBodyBytes : announced;
--- a/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/RequestMemory.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * Bounds the memory for the requests of callers, from their first byte until they are answered. A body claims its
@@ -214,10 +215,10 @@
          * @param wanted needed bytes
          * @param largest bytes that the request may need at most
          * @param nowNanos monotonic time
-         * @param waitEndNanos monotonic time up to which the request may wait
+         * @param waitEndNanos returns the monotonic time up to which the request may wait
          * @return whether the body may be read; otherwise {@link Owner#admitted()} is called once it may be
          */
-        boolean claim(long wanted, long largest, long nowNanos, long waitEndNanos) {
+        boolean claim(long wanted, long largest, long nowNanos, LongSupplier waitEndNanos) {
             if (released) {
                 return false;
             }
@@ -232,7 +233,7 @@
                 giveUp();
                 return false;
             }
-            this.waitEndNanos = waitEndNanos;
+            this.waitEndNanos = waitEndNanos.getAsLong();
             waiting.add(this);
             return false;
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -261,8 +261,7 @@
     /** Claims memory for the body. The connection is not read until there is enough. */
     private void claimBody() {
         boolean begun = arriving.length() > 0;
-        long now = server.time().nanoTime();
-        if (arriving.claimBody(now, waitEndNanos(now))) {
+        if (arriving.claimBody(server.time().nanoTime(), this::bodyEndNanos)) {
             if (!begun) {
                 askForBody();
             }
@@ -272,12 +271,16 @@
         }
     }
 
-    /** Returns the monotonic time in nanoseconds up to which the body of the arriving request may wait for memory. */
-    private long waitEndNanos(long now) {
+    /**
+     * Returns the monotonic time in nanoseconds up to which the body of the arriving request may wait for memory: until
+     * its caller no longer waits or, if that is unknown, for the body timeout.
+     */
+    private long bodyEndNanos() {
         return server.patience()
                 .timeLimit(arriving.head())
                 .map(limit -> headTimer.earliestArrivalNanos() + limit.toNanos())
-                .orElseGet(() -> now + server.pressure().budgets().bodyTimeout().toNanos());
+                .orElseGet(() -> lastActiveNanos
+                        + server.pressure().budgets().bodyTimeout().toNanos());
     }
 
     private void askForBody() {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/RequestMemoryTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/RequestMemoryTest.java
@@ -120,7 +120,7 @@
             }
             bodies.stream()
                     .filter(body -> !body.waiting())
-                    .forEach(body -> body.claim(SMALL, 2000, nowNanos, nowNanos + MAX_WAIT.toNanos()));
+                    .forEach(body -> body.claim(SMALL, 2000, nowNanos, () -> nowNanos + MAX_WAIT.toNanos()));
             while (!bodies.isEmpty()) {
                 RequestMemory.Reservation next = bodies.stream()
                         .filter(body -> !body.waiting())
@@ -183,7 +183,7 @@
                 }
             });
             reservation.resize(1);
-            reservation.claim(wanted, largest, nowNanos, nowNanos + MAX_WAIT.toNanos());
+            reservation.claim(wanted, largest, nowNanos, () -> nowNanos + MAX_WAIT.toNanos());
             return reservation;
         }
     }
