Refuse a stopped body once its caller no longer waits, not after 10 s

A legal caller that paused for more than callers.body-timeout.ms (10 s) within a body got 408 although nothing else was held and its deadline was later; one whose deadline had passed kept its memory for the 10 s.

Cause: the body timeout bounded the pause, but the limits of the configuration bound only the head, the size and idle connections. A body may now take as long as its caller waits, as for a body that waits for memory.

--- a/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/config/CallerBudgets.java
@@ -18,8 +18,8 @@
  * @param connections connections of callers, or of other sidecars
  * @param internalConnections connections to the ports for metrics and readiness
  * @param upstreamConnections connections to upstreams, beyond which requests wait
- * @param bodyTimeout longest time for which a body that has begun may stop arriving, or wait for memory if its
- *     caller's patience is unknown
+ * @param bodyTimeout longest time for which a body may stop arriving, or wait for memory, if it is unknown how
+ *     long its caller waits
  */
 public record CallerBudgets(
         long requestBytes,
--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -114,7 +114,7 @@
      * @param inputs bounds when a request has arrived
      * @param limits limits of the callers, which may change
      * @param pressure owner of what the callers make the process hold
-     * @param patience tells how long a body may wait for memory
+     * @param patience tells how long a body may take
      * @param handler handler of the requests
      */
     public static HttpServer of(
@@ -327,11 +327,10 @@
 
     private void closeExpired() {
         CallerLimits current = limits();
-        Duration bodyTimeout = pressure.budgets().bodyTimeout();
         for (ServerConnection connection : new ArrayList<>(connections)) {
             connection.closeIfIdleLongerThan(current.idleTimeout());
             connection.rejectIfHeadTakesLongerThan(current.headerTimeout());
-            connection.rejectIfBodyStopsLongerThan(bodyTimeout);
+            connection.rejectIfBodyIsLate();
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -167,23 +167,23 @@
         return arriving != null && arriving.waiting();
     }
 
-    /** Refuses a request whose body stops before its end, so that it does not hold its memory. */
-    void rejectIfBodyStopsLongerThan(Duration limit) {
-        if (bodyStoppedLongerThan(limit)) {
+    /** Refuses a request whose body is not complete when it is too late for it, so that it does not hold its memory. */
+    void rejectIfBodyIsLate() {
+        if (bodyLate()) {
             readReceivedBytes();
-            if (bodyStoppedLongerThan(limit)) {
+            if (bodyLate()) {
                 server.pressure().recordStalledBody();
                 reject(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         }
     }
 
-    /** A body that waits for memory, or behind a request that waits, is not read, so it has not stopped. */
-    private boolean bodyStoppedLongerThan(Duration limit) {
+    /** A body that waits for memory, or behind a request that waits, is not read, so its caller is not late. */
+    private boolean bodyLate() {
         return bodyBegun()
                 && !bodyWaits()
                 && pipelined.isEmpty()
-                && server.time().since(lastActiveNanos).compareTo(limit) > 0;
+                && server.time().nanoTime() - bodyEndNanos() > 0;
     }
 
     /** Refuses a request whose head arrives too slowly, so that it does not hold the connection. */
@@ -272,8 +272,8 @@
     }
 
     /**
-     * Returns the monotonic time in nanoseconds up to which the body of the arriving request may wait for memory: until
-     * its caller no longer waits or, if that is unknown, for the body timeout.
+     * Returns the monotonic time in nanoseconds up to which the body of the arriving request may wait for memory, or
+     * for its next part: until its caller no longer waits or, if that is unknown, for the body timeout.
      */
     private long bodyEndNanos() {
         return server.patience()
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -131,26 +132,56 @@
 
     @Nested
     class Bodies {
+        private static final String INCOMPLETE =
+                "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbod";
+
         /** Guards against callers that hold memory with a body that never ends. */
         @Test
         void thatStopBeforeTheirEndAreRefused() throws Exception {
-            CallerBudgets budgets = new CallerBudgets(100_000, 100_000, 10, 10, 10, Duration.ofMillis(1500));
+            try (Socket socket = connectTo(Duration.ofMillis(1500), CallerPatience.unknown())) {
+                write(socket, INCOMPLETE);
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+            }
+        }
+
+        /** Guards against a slow caller that is refused for a pause although it still waits for the response. */
+        @Test
+        void thatPauseAreServedWhileTheirCallersWait() throws Exception {
+            try (Socket socket = connectTo(Duration.ofMillis(200), head -> Optional.of(Duration.ofSeconds(30)))) {
+                write(socket, INCOMPLETE);
+                Thread.sleep(2500);
+                write(socket, "y");
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+            }
+        }
+
+        /** Guards against a body that is awaited although its caller has left. */
+        @Test
+        void thatAreLateAreRefusedOnceTheirCallersNoLongerWait() throws Exception {
+            try (Socket socket = connectTo(Duration.ofSeconds(30), head -> Optional.of(Duration.ofMillis(200)))) {
+                write(socket, INCOMPLETE);
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+            }
+        }
+
+        private Socket connectTo(Duration bodyTimeout, CallerPatience patience) throws IOException {
             Address limited = new Address("127.0.0.1", freePort());
             HttpServer.of(
                             loop,
                             TimeSource.system(),
                             InputClock.immediate(TimeSource.system()),
                             () -> LIMITS,
-                            CallerPressure.of(budgets),
-                            CallerPatience.unknown(),
-                            (head, body, writer) -> {})
+                            CallerPressure.of(new CallerBudgets(100_000, 100_000, 10, 10, 10, bodyTimeout)),
+                            patience,
+                            (head, body, writer) ->
+                                    writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER))
                     .listen(limited);
-            try (Socket socket = new Socket("127.0.0.1", limited.port())) {
-                socket.setSoTimeout(10_000);
-                write(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbod");
-
-                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
-            }
+            Socket socket = new Socket("127.0.0.1", limited.port());
+            socket.setSoTimeout(10_000);
+            return socket;
         }
 
         /** Guards against reading, or waiting for, a body that is refused in any case. */
