Move the writer of responses out of ServerConnection

No behaviour changes.

HttpServerTest, ConnectionCloseTest, RequestMemoryTest, GracefulStopTest, EarliestArrivalTest and FrozenProcessTest pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -10,19 +10,11 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -417,7 +409,7 @@
             return;
         }
         BufferedRequest request = pipelined.removeFirst();
-        current = new ConnectionWriter(request);
+        current = new ConnectionWriter(this, context, request);
         updateReading();
         try {
             server.handler().handle(request.arrived().head(), request.body(), current);
@@ -426,8 +418,48 @@
         }
     }
 
+    /** Returns whether the connection closes after a response that begins now. */
+    boolean closesAfterResponse() {
+        return lastOnConnection() || server.draining();
+    }
+
+    private boolean lastOnConnection() {
+        return closing && pipelined.isEmpty();
+    }
+
+    /** Accounts for a part of a response that was written. */
+    void responsePartWritten() {
+        server.pressure().unread().written(this);
+    }
+
+    /** Writes the last part of a response, and goes on with the next request unless the connection closes after it. */
+    void endResponse(BufferedRequest request, HttpObject last, boolean closeAfter) {
+        current = null;
+        request.release();
+        lastActiveNanos = server.time().nanoTime();
+        if (closeAfter || lastOnConnection()) {
+            closing = true;
+            clearPipelined();
+            context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            context.writeAndFlush(last)
+                    .addListener(sent -> lastActiveNanos = server.time().nanoTime());
+            handleNext();
+        }
+        responsePartWritten();
+        updateReading();
+    }
+
+    /** Closes the connection because a response cannot be completed. */
+    void abortResponse(BufferedRequest request) {
+        current = null;
+        closing = true;
+        request.release();
+        context.close();
+    }
+
     /** Reads the connection unless it was open a moment ago, and returns whether it still is. */
-    private boolean readIfLate() {
+    boolean readIfLate() {
         long now = server.time().nanoTime();
         if (!bodyWaits() && now - knownOpenNanos(now) > LATE.toNanos()) {
             readReceivedBytes();
@@ -484,12 +516,6 @@
         context.executor().schedule(() -> context.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private record BufferedRequest(ArrivingRequest arrived, byte[] body, long earliestArrivalNanos) {
-        private void release() {
-            arrived.release();
-        }
-    }
-
     /** Notes the arrival of the first bytes of a request head, which the decoder keeps until the head is complete. */
     private final class HeadTimer extends ChannelInboundHandlerAdapter {
         private boolean betweenRequests = true;
@@ -540,153 +566,4 @@
             }
         }
     }
-
-    /** Writes the response to the current request. */
-    private final class ConnectionWriter implements ResponseWriter {
-        private final long earliestArrivalNanos;
-        private final BufferedRequest request;
-        private final boolean keepAlive;
-        private final boolean headRequest;
-        private boolean closeAfterResponse;
-        private boolean finished;
-        private Runnable onDisconnect = () -> {};
-        private Runnable onWritable = () -> {};
-
-        private ConnectionWriter(BufferedRequest request) {
-            this.request = request;
-            earliestArrivalNanos = request.earliestArrivalNanos();
-            keepAlive = HttpUtil.isKeepAlive(request.arrived().head());
-            headRequest = request.arrived().head().method().equals(HttpMethod.HEAD);
-        }
-
-        @Override
-        public long earliestArrivalNanos() {
-            return earliestArrivalNanos;
-        }
-
-        @Override
-        public boolean connected() {
-            return !finished && readIfLate();
-        }
-
-        @Override
-        public void writeFull(int status, HttpHeaders headers, ByteBuf content) {
-            if (finished) {
-                content.release();
-                return;
-            }
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            ByteBuf payload = content;
-            if (headRequest) {
-                content.release();
-                payload = Unpooled.EMPTY_BUFFER;
-            }
-            FullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    payload,
-                    headers,
-                    EmptyHttpHeaders.INSTANCE);
-            setConnection(headers);
-            finish(response);
-        }
-
-        @Override
-        public void start(int status, HttpHeaders headers) {
-            if (finished) {
-                return;
-            }
-            HttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            setConnection(headers);
-            context.write(response);
-        }
-
-        @Override
-        public void writeChunk(ByteBuf content) {
-            if (finished || headRequest) {
-                content.release();
-                return;
-            }
-            context.writeAndFlush(new DefaultHttpContent(content));
-            server.pressure().unread().written(ServerConnection.this);
-        }
-
-        @Override
-        public void end() {
-            if (!finished) {
-                finish(new DefaultLastHttpContent());
-            }
-        }
-
-        @Override
-        public void abort() {
-            if (!finished) {
-                finished = true;
-                current = null;
-                closing = true;
-                request.release();
-                context.close();
-            }
-        }
-
-        @Override
-        public boolean awaitWritable(Runnable action) {
-            if (finished || context.channel().isWritable()) {
-                return false;
-            }
-            onWritable = action;
-            return true;
-        }
-
-        private void writableAgain() {
-            Runnable action = onWritable;
-            onWritable = () -> {};
-            action.run();
-        }
-
-        @Override
-        public void onDisconnect(Runnable action) {
-            onDisconnect = action;
-        }
-
-        private void disconnected() {
-            finished = true;
-            request.release();
-            onDisconnect.run();
-        }
-
-        private void setConnection(HttpHeaders headers) {
-            closeAfterResponse = !keepAlive
-                    || lastOnConnection()
-                    || server.draining()
-                    || headers.contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-            if (closeAfterResponse) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        private boolean lastOnConnection() {
-            return closing && pipelined.isEmpty();
-        }
-
-        private void finish(HttpObject last) {
-            finished = true;
-            current = null;
-            request.release();
-            lastActiveNanos = server.time().nanoTime();
-            if (closeAfterResponse || lastOnConnection()) {
-                closing = true;
-                clearPipelined();
-                context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
-            } else {
-                context.writeAndFlush(last)
-                        .addListener(sent -> lastActiveNanos = server.time().nanoTime());
-                handleNext();
-            }
-            server.pressure().unread().written(ServerConnection.this);
-            updateReading();
-        }
-    }
 }
