Answer a body that stops for the idle timeout instead of closing it

A caller that paused within a body for longer than the idle timeout got no response: its connection counted as idle and was closed.

Cause: a connection with a body that has begun counted as idle unless the body waited for memory. It is now refused with 408 after the idle timeout, which bounds how long a caller may pause.

Result: HttpServerTest thatPauseForLongerThanTheIdleTimeoutAreRefused got no response before and passes, with the rest of HttpServerTest, ConnectionCloseTest, RequestMemoryTest and GracefulStopTest.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -330,7 +330,7 @@
         for (ServerConnection connection : new ArrayList<>(connections)) {
             connection.closeIfIdleLongerThan(current.idleTimeout());
             connection.rejectIfHeadTakesLongerThan(current.headerTimeout());
-            connection.rejectIfBodyIsLate();
+            connection.rejectIfBodyIsLate(current.idleTimeout());
         }
     }
 }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -146,7 +146,7 @@
 
     private boolean inactiveLongerThan(Duration limit) {
         boolean unread = current == null && !context.channel().isWritable();
-        return (!busy() && !bodyWaits() || unread)
+        return (!busy() && !bodyBegun() || unread)
                 && server.time().since(lastActiveNanos).compareTo(limit) > 0;
     }
 
@@ -159,11 +159,15 @@
         return arriving != null && arriving.waiting();
     }
 
-    /** Refuses a request whose body is not complete when it is too late for it, so that it does not hold its memory. */
-    void rejectIfBodyIsLate() {
-        if (bodyLate()) {
+    /**
+     * Refuses a request whose body is not complete when it is too late for it, so that it does not hold its memory.
+     *
+     * @param longestPause longest time without a part of the body
+     */
+    void rejectIfBodyIsLate(Duration longestPause) {
+        if (bodyLate(longestPause)) {
             readReceivedBytes();
-            if (bodyLate()) {
+            if (bodyLate(longestPause)) {
                 server.pressure().recordStalledBody();
                 reject(HttpResponseStatus.REQUEST_TIMEOUT);
             }
@@ -171,11 +175,12 @@
     }
 
     /** A body that waits for memory, or behind a request that waits, is not read, so its caller is not late. */
-    private boolean bodyLate() {
+    private boolean bodyLate(Duration longestPause) {
         return bodyBegun()
                 && !bodyWaits()
                 && pipelined.isEmpty()
-                && server.time().nanoTime() - bodyEndNanos() > 0;
+                && (server.time().since(lastActiveNanos).compareTo(longestPause) > 0
+                        || server.time().nanoTime() - bodyEndNanos() > 0);
     }
 
     /** Refuses a request whose head arrives too slowly, so that it does not hold the connection. */
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -167,13 +167,29 @@
             }
         }
 
+        /** Guards against a caller that gets no response because its connection counts as idle. */
+        @Test
+        void thatPauseForLongerThanTheIdleTimeoutAreRefused() throws Exception {
+            CallerLimits limits = new CallerLimits(2000, 4000, Duration.ofSeconds(3), Duration.ofMillis(500));
+            try (Socket socket = connectTo(limits, Duration.ofSeconds(30), CallerPatience.unknown())) {
+                write(socket, INCOMPLETE);
+
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 408");
+            }
+        }
+
         private Socket connectTo(Duration bodyTimeout, CallerPatience patience) throws IOException {
+            return connectTo(LIMITS, bodyTimeout, patience);
+        }
+
+        private Socket connectTo(CallerLimits limits, Duration bodyTimeout, CallerPatience patience)
+                throws IOException {
             Address limited = new Address("127.0.0.1", freePort());
             HttpServer.of(
                             loop,
                             TimeSource.system(),
                             InputClock.immediate(TimeSource.system()),
-                            () -> LIMITS,
+                            () -> limits,
                             CallerPressure.of(new CallerBudgets(100_000, 100_000, 10, 10, 10, bodyTimeout)),
                             patience,
                             (head, body, writer) ->
