--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -316,7 +316,7 @@
     private void replaceStalledAttempt(Choice choice) {
         awaitingReplacement = false;
         if (replaceable(context.time().nanoTime()) && context.admit(request) && context.tryRetry(service)) {
-            if (attempt.sent()) {
+            if (isStream() && attempt.sent()) {
                 cancelEarlierAttempt("stalled");
                 earlierAttempt = attempt;
                 attempt.recordStall();
