--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -13,6 +14,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -150,7 +152,9 @@
         void thatPauseAreServedWhileTheirCallersWait() throws Exception {
             try (Socket socket = connectTo(Duration.ofMillis(200), head -> Optional.of(Duration.ofSeconds(30)))) {
                 write(socket, INCOMPLETE);
-                Thread.sleep(2500);
+                socket.setSoTimeout(2500);
+                assertThatThrownBy(() -> socket.getInputStream().read()).isInstanceOf(SocketTimeoutException.class);
+                socket.setSoTimeout(10_000);
                 write(socket, "y");
 
                 assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
