--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if requests reached an evacuated zone, 0 if none did, 2 if the case could not run.
+# With TROUBLE=0 the same is done without the disruption.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.."
 [ -f target/review-2/EvacuationCase.class ] && [ -f target/masticcroft-platform.jar ] || { echo "not built"; exit 2; }
 timeout -k 5 115 java -cp target/review-2 EvacuationCase "$PWD" "$PWD/review/8/record.txt"
