Obey an evacuation that is requested as the store comes back

Cause: each entry remembered every revocation for good. In the full read after a restore, a request for a data centre whose revocation was remembered counted as a record of the copy and was dropped without a log line, also if the operator had written it after the return of the store.

Change: such a request is deferred for 1.5 s and takes effect unless its revocation is read again; a revocation older than 60 s is part of every copy and delays nothing. The withdrawal of unanswered requests counts from the read, so that both stay within the 5 s of an evacuation. Event 1110 shows the decision, which no log line showed before.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
@@ -20,6 +20,16 @@
      */
     private static final Duration REWRITE_TIME = Duration.ofSeconds(5);
 
+    /**
+     * Time after a full read within which the operator writes a lost revocation again. This process reads a request
+     * within 2.9 s, so that one which is deferred for this time still takes effect within the 5 s that an evacuation
+     * allows.
+     */
+    private static final Duration REVOCATION_REWRITE_TIME = Duration.ofMillis(1500);
+
+    /** Time after which every copy contains a revocation; a copy is only some seconds old. */
+    private static final Duration REVOCATION_RETENTION = Duration.ofSeconds(60);
+
     /**
      * Time after this process has learned of an evacuation at which requests without any response are withdrawn. The
      * network may still hold them and would deliver them later than the 5 s that an evacuation allows; this process
@@ -30,6 +40,9 @@
     private final Map<String, Long> requestedNanos = new HashMap<>();
     private final Map<String, Long> revokedNanos = new HashMap<>();
 
+    /** Monotonic time at which each request was read that an older copy may state without its revocation. */
+    private final Map<String, Long> deferredNanos = new HashMap<>();
+
     /** Evacuations in force that an older copy of the store lacks and that may be written again. */
     private final Set<String> awaited = new HashSet<>();
 
@@ -47,9 +60,27 @@
         rewriteEndNanos = OptionalLong.of(nowNanos + REWRITE_TIME.toNanos());
     }
 
-    /** Returns whether a request in a full read only states what was revoked after the copy of the store was made. */
-    public boolean outdated(String dataCentre) {
-        return rewriteEndNanos.isPresent() && revokedNanos.containsKey(dataCentre);
+    /**
+     * Defers a request of a full read if it may be one that was revoked after the copy of the store was made. It may as
+     * well be a new one, written before this read, so it takes effect unless it is revoked again.
+     *
+     * @return whether the request is deferred
+     */
+    public boolean defer(String dataCentre, long nowNanos) {
+        Long revoked = revokedNanos.get(dataCentre);
+        if (rewriteEndNanos.isEmpty() || revoked == null || nowNanos - revoked >= REVOCATION_RETENTION.toNanos()) {
+            return false;
+        }
+        deferredNanos.putIfAbsent(dataCentre, nowNanos);
+        return true;
+    }
+
+    /** Returns the deferred requests that nobody has revoked again within the time for it; they take effect. */
+    public List<String> notRevokedAgain(long nowNanos) {
+        return deferredNanos.entrySet().stream()
+                .filter(deferred -> nowNanos - deferred.getValue() >= REVOCATION_REWRITE_TIME.toNanos())
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     /**
@@ -57,6 +88,7 @@
      * force until the time for writing them again is over.
      */
     public List<String> revokedBy(Collection<String> requested) {
+        deferredNanos.keySet().retainAll(requested);
         List<String> missing = notAmong(requested);
         if (rewriteEndNanos.isEmpty()) {
             return missing;
@@ -80,12 +112,14 @@
     public boolean request(String dataCentre, long nowNanos) {
         awaited.remove(dataCentre);
         revokedNanos.remove(dataCentre);
-        return requestedNanos.putIfAbsent(dataCentre, nowNanos) == null;
+        Long deferred = deferredNanos.remove(dataCentre);
+        return requestedNanos.putIfAbsent(dataCentre, deferred == null ? nowNanos : deferred) == null;
     }
 
     /** Records that the evacuation of a data centre is revoked; returns false if none was in force. */
     public boolean revoke(String dataCentre, long nowNanos) {
         awaited.remove(dataCentre);
+        deferredNanos.remove(dataCentre);
         boolean inForce = requestedNanos.remove(dataCentre) != null;
         if (inForce) {
             revokedNanos.put(dataCentre, nowNanos);
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -632,9 +632,9 @@
         writer.writeFull(ready ? 200 : 503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
 
-    /** Applies deferred removals of upstreams and dispatches waiting requests to upstreams with room. */
+    /** Applies the deferred changes of the fleet and dispatches waiting requests to upstreams with room. */
     private void dispatchQueues() {
-        fleet.applyDeferredRemovals(time.nanoTime());
+        fleet.applyDeferredChanges(time.nanoTime());
         queues.forEach((service, queue) -> {
             if (queue.size() > 0) {
                 queue.dispatchWaiting(profile(service), versionLimit(service));
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -109,7 +109,7 @@
 
     @Override
     public void snapshot(Directory directory, List<FleetChange> changes) {
-        changed(directory, changes.stream().filter(change -> !outdated(change)).toList());
+        changed(directory, changes.stream().filter(change -> !deferred(change)).toList());
         if (directory == Directory.OPERATOR) {
             operatorDirectoryRead = true;
             revokeMissingEvacuations(changes);
@@ -126,7 +126,7 @@
                         .map(upstream -> upstream.id())
                         .filter(id -> !ids.contains(id))
                         .forEach(deferredRemovals::addMissing);
-                applyDeferredRemovals(time.nanoTime());
+                applyDeferredChanges(time.nanoTime());
             } else {
                 upstreams.listed().stream()
                         .map(upstream -> upstream.id())
@@ -142,7 +142,7 @@
         for (FleetChange change : changes) {
             applyChange(directory, change);
         }
-        applyDeferredRemovals(time.nanoTime());
+        applyDeferredChanges(time.nanoTime());
     }
 
     @Override
@@ -177,9 +177,10 @@
         }
     }
 
-    /** Applies the deferred removals of upstreams that are due. */
-    void applyDeferredRemovals(long nowNanos) {
+    /** Applies the deferred changes of evacuations and removals of upstreams that are due. */
+    void applyDeferredChanges(long nowNanos) {
         evacuations.notRequestedAgain(nowNanos).forEach(this::revokeEvacuation);
+        evacuations.notRevokedAgain(nowNanos).forEach(this::requestEvacuation);
         deferredRemovals.apply(nowNanos);
     }
 
@@ -289,10 +290,14 @@
         log.write(Event.WEIGHTS_NAMED, "model", model, "version", version, "greatest_age_ms", ageMillis);
     }
 
-    /** Returns whether a record of a full read is older than what this process has read before. */
-    private boolean outdated(FleetChange change) {
-        return change instanceof FleetChange.EvacuationRequested requested
-                && evacuations.outdated(requested.dataCentre());
+    /** Returns whether a record of a full read takes effect later, since it may be older than what was read before. */
+    private boolean deferred(FleetChange change) {
+        if (change instanceof FleetChange.EvacuationRequested requested
+                && evacuations.defer(requested.dataCentre(), time.nanoTime())) {
+            log.write(Event.EVACUATION_DEFERRED, "data_centre", requested.dataCentre());
+            return true;
+        }
+        return false;
     }
 
     private void requestEvacuation(String dataCentre) {
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -241,7 +241,7 @@
             assertThat(usable()).containsExactly("c");
 
             time.advance(Duration.ofSeconds(5));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
             assertThat(usable()).containsExactly("c");
             assertThat(ids()).containsExactly("a", "c");
         }
@@ -267,12 +267,12 @@
             fleet.snapshot(Directory.UPSTREAMS, all);
             restore(listed("c"), listed("d"));
             time.advance(Duration.ofMillis(2500));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
             assertThat(ids()).containsExactly("a", "b", "c", "d");
 
             fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
             time.advance(Duration.ofMillis(500));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
             assertThat(ids()).containsExactly("a", "c", "d");
         }
 
@@ -297,7 +297,7 @@
 
             fleet.changed(Directory.OPERATOR, List.of(requested));
             time.advance(Duration.ofSeconds(6));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
             assertThat(fleet.evacuations().inForce("z")).isTrue();
         }
 
@@ -308,7 +308,7 @@
             fleet.storeRestored(Directory.OPERATOR);
             fleet.snapshot(Directory.OPERATOR, List.of());
             time.advance(Duration.ofSeconds(6));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
 
             assertThat(fleet.evacuations().inForce("z")).isFalse();
         }
@@ -327,6 +327,55 @@
             assertThat(fleet.evacuations().inForce("z")).isTrue();
         }
 
+        /** Guards against an evacuation that is ignored for good if it was requested before the copy is first read. */
+        @Test
+        void appliesAnEvacuationThatIsRequestedAgainBeforeTheFirstRead() {
+            FleetChange requested = new FleetChange.EvacuationRequested("z");
+            fleet.changed(Directory.OPERATOR, List.of(requested));
+            fleet.changed(Directory.OPERATOR, List.of(new FleetChange.EvacuationRevoked("z")));
+            time.advance(Duration.ofSeconds(10));
+            fleet.storeRestored(Directory.OPERATOR);
+            fleet.snapshot(Directory.OPERATOR, List.of(requested));
+            time.advance(Duration.ofSeconds(2));
+            fleet.applyDeferredChanges(time.nanoTime());
+
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
+            assertThat(fleet.evacuations().withdrawsUnanswered("z", time.nanoTime()))
+                    .isTrue();
+        }
+
+        /** Guards against a delay of an evacuation because of a revocation that every copy contains. */
+        @Test
+        void appliesAnEvacuationAtOnceIfTheLastOneEndedLongAgo() {
+            FleetChange requested = new FleetChange.EvacuationRequested("z");
+            fleet.changed(Directory.OPERATOR, List.of(requested));
+            fleet.changed(Directory.OPERATOR, List.of(new FleetChange.EvacuationRevoked("z")));
+            time.advance(Duration.ofMinutes(1));
+            fleet.storeRestored(Directory.OPERATOR);
+            fleet.snapshot(Directory.OPERATOR, List.of(requested));
+
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
+        }
+
+        /** Guards against a revoked evacuation that comes into force although its revocation was written again. */
+        @Test
+        void dropsAnEvacuationThatIsRevokedAgain() {
+            FleetChange requestedInY = new FleetChange.EvacuationRequested("y");
+            FleetChange requestedInZ = new FleetChange.EvacuationRequested("z");
+            fleet.changed(Directory.OPERATOR, List.of(requestedInY, requestedInZ));
+            fleet.changed(
+                    Directory.OPERATOR,
+                    List.of(new FleetChange.EvacuationRevoked("y"), new FleetChange.EvacuationRevoked("z")));
+            fleet.storeRestored(Directory.OPERATOR);
+            fleet.snapshot(Directory.OPERATOR, List.of(requestedInY, requestedInZ));
+            fleet.changed(Directory.OPERATOR, List.of(new FleetChange.EvacuationRevoked("y")));
+            fleet.snapshot(Directory.OPERATOR, List.of());
+            time.advance(Duration.ofSeconds(2));
+            fleet.applyDeferredChanges(time.nanoTime());
+
+            assertThat(fleet.evacuations().count()).isZero();
+        }
+
         /** Guards against a configuration or a version of weights that the copy makes older. */
         @Test
         void neverLowersTheConfigurationOrTheNamedVersions() {
@@ -372,7 +421,7 @@
             fleet.snapshot(Directory.UPSTREAMS, List.of());
             fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
             time.advance(Duration.ofSeconds(5));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
 
             assertThat(ids()).containsExactly("a");
         }
@@ -398,7 +447,7 @@
             assertThat(ids()).containsExactly("a", "b", "c");
 
             time.advance(Duration.ofMillis(2000));
-            fleet.applyDeferredRemovals(time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
             assertThat(ids()).containsExactly("c");
         }
 
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -25,6 +25,9 @@
             1107, "The operator revoked the evacuation of a data centre; its upstreams are refilled gradually."),
     STORE_RESTORED(1108, "The store came back from an older copy; the directory that is read in full is given."),
     LISTING_OUTDATED(1109, "A listing of an upstream has no effect because a newer one is known."),
+    EVACUATION_DEFERRED(
+            1110,
+            "A request for an evacuation may predate its revocation; it takes effect unless it is revoked again."),
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
