Accept listings that are written after the full read of a restored store

Callers: entries that knew an upstream sent it nothing for up to 60 s after it had registered at a restored store, if the clock of its machine had been set back before its restart, or if its listing had expired in the outage and was written again unchanged. Found by reading; no run of the whole system showed it.

ListingHistory took a listing for one of the copy by what it remembered, also if the listing was read behind the full read, where all records are of the new era.

Change: the comparison with the copy applies to full reads only.

Result: isOverForAnUpstreamThatIsListedAfterTheFirstRead failed before ("b" was usable in place of "a") and passes; the other tests of the class pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/ListingHistory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/ListingHistory.java
@@ -37,13 +37,28 @@
     }
 
     /**
-     * Records a listing unless it is older than the known one of the upstream.
+     * Records a listing of a full read unless it is older than the known one of the upstream. After a restore, it may
+     * be one of the copy.
+     *
+     * @return whether the listing takes effect
+     */
+    public boolean addFromFullRead(UpstreamListing listing) {
+        return add(listing, true);
+    }
+
+    /**
+     * Records a listing that was written after a full read of the present era, unless it is older than the known one of
+     * the upstream.
      *
      * @return whether the listing takes effect
      */
     public boolean add(UpstreamListing listing) {
+        return add(listing, false);
+    }
+
+    private boolean add(UpstreamListing listing, boolean fullRead) {
         Known known = knownById.get(listing.id());
-        if (known != null && isOlder(listing, known)) {
+        if (known != null && isOlder(listing, known, fullRead && known.restores() < restores)) {
             return false;
         }
         knownById.put(
@@ -58,13 +73,16 @@
         removeOld();
     }
 
-    /** Returns whether a listing is older. Starts that are unknown can't be compared. */
-    private boolean isOlder(UpstreamListing listing, Known known) {
+    /**
+     * Returns whether a listing is older. Starts that are unknown can't be compared.
+     *
+     * @param fromCopy whether the listing may be one of a copy that was made before the known one was written
+     */
+    private boolean isOlder(UpstreamListing listing, Known known, boolean fromCopy) {
         boolean recent = time.since(known.recordedNanos()).compareTo(RETENTION) < 0;
         if (listing.startMillis() == 0 || known.startMillis() == 0 || (known.removed() && !recent)) {
             return false;
         }
-        boolean fromCopy = known.restores() < restores;
         if (listing.startMillis() != known.startMillis()) {
             // The wall clock of a machine may be set back, so within an era a restart may have an earlier start.
             return fromCopy && recent && listing.startMillis() < known.startMillis();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -109,7 +109,14 @@
 
     @Override
     public void snapshot(Directory directory, List<FleetChange> changes) {
-        changed(directory, changes.stream().filter(change -> !deferred(change)).toList());
+        for (FleetChange change : changes) {
+            if (change instanceof FleetChange.UpstreamListed listed) {
+                applyListing(listed.listing(), listings.addFromFullRead(listed.listing()));
+            } else if (!deferred(change)) {
+                applyChange(directory, change);
+            }
+        }
+        applyDeferredChanges(time.nanoTime());
         if (directory == Directory.OPERATOR) {
             operatorDirectoryRead = true;
             revokeMissingEvacuations(changes);
@@ -195,7 +202,7 @@
         } else if (change instanceof FleetChange.EvacuationRevoked revoked) {
             revokeEvacuation(revoked.dataCentre());
         } else if (change instanceof FleetChange.UpstreamListed listed) {
-            applyListing(listed.listing(), now);
+            applyListing(listed.listing(), listings.add(listed.listing()));
         } else if (change instanceof FleetChange.UpstreamRemoved removed) {
             if (deferredRemovals.active()) {
                 deferredRemovals.add(removed.id());
@@ -212,8 +219,8 @@
         }
     }
 
-    private void applyListing(UpstreamListing listing, long now) {
-        if (!listings.add(listing)) {
+    private void applyListing(UpstreamListing listing, boolean newest) {
+        if (!newest) {
             log.write(
                     Event.LISTING_OUTDATED,
                     "upstream",
@@ -228,7 +235,7 @@
         // At the first read, the upstreams have been running for an unknown time, and their own statements count.
         Duration coldTime =
                 upstreamsDirectoryRead ? coldLimits(listing.service()).time() : Duration.ZERO;
-        upstreams.put(listing, coldTime, now);
+        upstreams.put(listing, coldTime, time.nanoTime());
     }
 
     private void removeUpstream(String id, long now) {
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -260,6 +260,18 @@
             assertThat(usable()).containsExactly("a", "b");
         }
 
+        /** Guards against an upstream whose clock was set back and that is ignored for a minute after a restore. */
+        @Test
+        void isOverForAnUpstreamThatIsListedAfterTheFirstRead() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a", 5, 2, false), listed("b", 5, 2, false)));
+            fleet.changed(Directory.UPSTREAMS, List.of(new FleetChange.UpstreamRemoved("a")));
+            restore(listed("a", 5, 2, false), listed("b", 4, 1, false));
+            assertThat(usable()).containsExactly("b");
+
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("a", 5, 2, false), listed("b", 4, 2, true)));
+            assertThat(usable()).containsExactly("a");
+        }
+
         /** Guards against upstreams that get no requests until they have registered again, even if they are few. */
         @Test
         void keepsUpstreamsThatTheCopyDoesNotListUntilTheyRegisterAgain() {
