Keep deferred removals if the store comes back from an older copy

Callers: requests went to upstreams that had left, until the store removed their listings once more, if the store was restored within 2 s of an outage in which a large part of a service left. Found by reading; no run of the whole system showed it.

Cause: the history of listings learned of a deferred removal only when it was applied. The copy's listing counted as a registration and cancelled it.

Change: a removal enters the history when it is read.

Result: keepsTheRemovalsThatAnOutageDefers failed before ("a", "b" and "c" were listed in place of "b" and "c") and passes; the other tests of the class pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
@@ -63,13 +63,19 @@
         return active;
     }
 
+    /** Adds a removal that was read. It counts for the history from now on, so that no older copy cancels it. */
     void add(String id) {
+        history.remove(id);
         pending.add(id);
     }
 
     /** Adds an upstream that a full read of the list did not contain. */
     void addMissing(String id) {
-        (copyUnconfirmed ? missing : pending).add(id);
+        if (copyUnconfirmed) {
+            missing.add(id);
+        } else {
+            add(id);
+        }
     }
 
     /** Forgets the removal of an upstream that is listed again. */
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -272,6 +272,25 @@
             assertThat(usable()).containsExactly("a");
         }
 
+        /** Guards against requests to upstreams that have left if the copy lists them before the removal is applied. */
+        @Test
+        void keepsTheRemovalsThatAnOutageDefers() {
+            FleetChange a = listed("a", 5, 2, false);
+            FleetChange b = listed("b", 5, 2, false);
+            FleetChange c = listed("c", 5, 2, false);
+            fleet.snapshot(Directory.UPSTREAMS, List.of(a, b, c));
+            fleet.storeRecovered(Directory.UPSTREAMS);
+            fleet.changed(
+                    Directory.UPSTREAMS,
+                    List.of(new FleetChange.UpstreamRemoved("a"), new FleetChange.UpstreamRemoved("b")));
+            restore(a, b, c);
+            fleet.changed(Directory.UPSTREAMS, List.of(listed("b", 5, 3, false)));
+            time.advance(Duration.ofSeconds(3));
+            fleet.applyDeferredChanges(time.nanoTime());
+
+            assertThat(ids()).containsExactly("b", "c");
+        }
+
         /** Guards against upstreams that get no requests until they have registered again, even if they are few. */
         @Test
         void keepsUpstreamsThatTheCopyDoesNotListUntilTheyRegisterAgain() {
