End an evacuation after a restore only with a read that confirms it

Callers: requests went to an evacuated data centre from an entry that lost the store within 5 s of a restore whose copy lacked the evacuation.

Cause: a timer ended the evacuation, although the entry could not read whether the operator had written it again.

Change: it ends when a read confirms that nothing was written until after that time. endsAnEvacuationThatIsNotWrittenAgain and keepsAnEvacuationUntilItIsWrittenAgain call confirmed() as the follower does with each read; they relied on the timer and expect the same.

Result: endsNoEvacuationBeforeTheStoreConfirmsThatItIsNotWrittenAgain failed before and passes; the other tests of the class pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/Evacuations.java
@@ -97,9 +97,13 @@
         return List.of();
     }
 
-    /** Returns the evacuations that nobody has requested again within the time for it; they are revoked. */
-    public List<String> notRequestedAgain(long nowNanos) {
-        if (rewriteEndNanos.isEmpty() || nowNanos - rewriteEndNanos.getAsLong() < 0) {
+    /**
+     * Returns the evacuations that nobody has requested again within the time for it; they are revoked.
+     *
+     * @param confirmedNanos monotonic time up to which all records have been read
+     */
+    public List<String> notRequestedAgain(long confirmedNanos) {
+        if (rewriteEndNanos.isEmpty() || confirmedNanos - rewriteEndNanos.getAsLong() < 0) {
             return List.of();
         }
         rewriteEndNanos = OptionalLong.empty();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -157,6 +157,7 @@
         if (directory == Directory.OPERATOR) {
             storeFreshness.confirmedAt(nanos);
             operatorRecordsMissedSinceNanos = OptionalLong.empty();
+            evacuations.notRequestedAgain(nanos).forEach(this::revokeEvacuation);
         }
     }
 
@@ -184,9 +185,8 @@
         }
     }
 
-    /** Applies the deferred changes of evacuations and removals of upstreams that are due. */
+    /** Applies the deferred requests of evacuations and removals of upstreams that are due. */
     void applyDeferredChanges(long nowNanos) {
-        evacuations.notRequestedAgain(nowNanos).forEach(this::revokeEvacuation);
         evacuations.notRevokedAgain(nowNanos).forEach(this::requestEvacuation);
         deferredRemovals.apply(nowNanos);
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -329,6 +329,7 @@
             fleet.changed(Directory.OPERATOR, List.of(requested));
             time.advance(Duration.ofSeconds(6));
             fleet.applyDeferredChanges(time.nanoTime());
+            fleet.confirmed(Directory.OPERATOR, time.nanoTime());
             assertThat(fleet.evacuations().inForce("z")).isTrue();
         }
 
@@ -339,8 +340,23 @@
             fleet.storeRestored(Directory.OPERATOR);
             fleet.snapshot(Directory.OPERATOR, List.of());
             time.advance(Duration.ofSeconds(6));
+            fleet.confirmed(Directory.OPERATOR, time.nanoTime());
+
+            assertThat(fleet.evacuations().inForce("z")).isFalse();
+        }
+
+        /** Guards against an evacuation that ends although the store could not be read after the restore. */
+        @Test
+        void endsNoEvacuationBeforeTheStoreConfirmsThatItIsNotWrittenAgain() {
+            fleet.changed(Directory.OPERATOR, List.of(new FleetChange.EvacuationRequested("z")));
+            fleet.storeRestored(Directory.OPERATOR);
+            fleet.snapshot(Directory.OPERATOR, List.of());
+            fleet.confirmed(Directory.OPERATOR, time.nanoTime());
+            time.advance(Duration.ofSeconds(6));
             fleet.applyDeferredChanges(time.nanoTime());
+            assertThat(fleet.evacuations().inForce("z")).isTrue();
 
+            fleet.confirmed(Directory.OPERATOR, time.nanoTime());
             assertThat(fleet.evacuations().inForce("z")).isFalse();
         }
 
