Remove upstreams that a copy lacks only with a read that confirms it

Cause: as for evacuations, a timer ended the time in which they register.

Result: removesNoUpstreamBeforeTheStoreConfirmsThatItHasNotRegistered failed before ("b" in place of "a" and "b") and passes; the other tests of the class pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/DeferredRemovals.java
@@ -39,6 +39,9 @@
     private long endNanos;
     private boolean copyUnconfirmed;
 
+    /** Monotonic time up to which all records of the list have been read. */
+    private long confirmedNanos;
+
     DeferredRemovals(UpstreamTable upstreams, ListingHistory history) {
         this.upstreams = upstreams;
         this.history = history;
@@ -55,9 +58,15 @@
     void beginAfterRestore(long nowNanos) {
         begin(nowNanos);
         endNanos = nowNanos + REGISTRATION_TIME.toNanos();
+        confirmedNanos = nowNanos;
         copyUnconfirmed = true;
     }
 
+    /** Records that all records which were written before a monotonic time have been read. */
+    void confirmedAt(long nanos) {
+        confirmedNanos = nanos;
+    }
+
     /** Returns whether removals have to be added here. */
     boolean active() {
         return active;
@@ -84,13 +93,17 @@
         missing.remove(id);
     }
 
-    /** Applies the removals that are planned work, and all of them once the expired listings must have returned. */
+    /**
+     * Applies the removals that are planned work, and all of them once the expired listings must have returned. A
+     * missing upstream is removed only after a read that would have shown its return.
+     */
     void apply(long nowNanos) {
         if (!active) {
             return;
         }
         boolean ended = nowNanos - endNanos >= 0;
-        if (ended) {
+        boolean finished = ended && (missing.isEmpty() || confirmedNanos - endNanos >= 0);
+        if (finished) {
             pending.addAll(missing);
         }
         if (!pending.isEmpty()) {
@@ -99,7 +112,7 @@
                             Collectors.groupingBy(upstream -> upstream.listing().service()));
             listedByService.forEach((service, listed) -> applyIn(service, listed, ended, nowNanos));
         }
-        if (ended) {
+        if (finished) {
             active = false;
             copyUnconfirmed = false;
             pending.clear();
--- a/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/FleetState.java
@@ -158,6 +158,8 @@
             storeFreshness.confirmedAt(nanos);
             operatorRecordsMissedSinceNanos = OptionalLong.empty();
             evacuations.notRequestedAgain(nanos).forEach(this::revokeEvacuation);
+        } else {
+            deferredRemovals.confirmedAt(nanos);
         }
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/node/FleetStateTest.java
@@ -303,10 +303,26 @@
 
             fleet.changed(Directory.UPSTREAMS, List.of(listed("a")));
             time.advance(Duration.ofMillis(500));
+            fleet.confirmed(Directory.UPSTREAMS, time.nanoTime());
             fleet.applyDeferredChanges(time.nanoTime());
             assertThat(ids()).containsExactly("a", "c", "d");
         }
 
+        /** Guards against an entry that drops its upstreams because the store could not be read after the restore. */
+        @Test
+        void removesNoUpstreamBeforeTheStoreConfirmsThatItHasNotRegistered() {
+            fleet.snapshot(Directory.UPSTREAMS, List.of(listed("a"), listed("b")));
+            restore(listed("b"));
+            fleet.confirmed(Directory.UPSTREAMS, time.nanoTime());
+            time.advance(Duration.ofSeconds(4));
+            fleet.applyDeferredChanges(time.nanoTime());
+            assertThat(ids()).containsExactly("a", "b");
+
+            fleet.confirmed(Directory.UPSTREAMS, time.nanoTime());
+            fleet.applyDeferredChanges(time.nanoTime());
+            assertThat(ids()).containsExactly("b");
+        }
+
         /** Guards against an upstream that was taken away after the restore and is kept with the missing ones. */
         @Test
         void doesNotDelayARemovalThatFollowsIt() {
