Drop the trailer fields of requests instead of collecting them

Cause: the decoder keeps trailer fields until their end, 92 bytes of heap for a field of 4 bytes, and no budget accounts for them, since they come behind the head and the body.

Change: the decoder validates trailer fields and keeps only the last one. They were never sent on.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -320,7 +320,8 @@
         connections.add(connection);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits().maxHeaderBytes()));
+                .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits().maxHeaderBytes()))
+                .setTrailersFactory(DroppedTrailers.factory());
         channel.pipeline().addLast(connection.headTimer(), new HttpServerCodec(config), connection);
         pressure.connections().add(connection);
     }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -73,6 +73,10 @@
         socket.getOutputStream().flush();
     }
 
+    private static String statusLine(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readNBytes("HTTP/1.1 200".length()), ISO_8859_1);
+    }
+
     private static String readToEnd(Socket socket) throws IOException {
         return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
     }
@@ -134,6 +138,21 @@
 
     @Nested
     class Bodies {
+        /** Guards against a connection that is lost, or a field that is not validated, because trailers are dropped. */
+        @Test
+        void mayHaveTrailersWhichMustBeValid() throws Exception {
+            String chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+            try (Socket socket = connect()) {
+                write(socket, chunked + "a: 1\r\nb: 2\r\n  folded\r\nc:\r\n\r\n");
+                assertThat(statusLine(socket)).isEqualTo("HTTP/1.1 200");
+                assertThat(lastBody).isEqualTo(new byte[] {'a', 'b'});
+            }
+            try (Socket socket = connect()) {
+                write(socket, chunked + "a: 1\r\nb c: 2\r\n\r\n");
+                assertThat(readToEnd(socket)).startsWith("HTTP/1.1 400");
+            }
+        }
+
         private static final String INCOMPLETE =
                 "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbod";
 
