Release the decoder of a connection as soon as its request is refused

Cause: a head that does not fit into the budget displaces others, whose connections are closed. A closed channel stays reachable until the event loop has handled the input of all others, and a refused one is kept for a second to read the rest, both with the lines that the decoder holds and without any reservation. After a freeze, a single turn of the loop reads all heads.

Change: a connection that handles nothing further removes its decoder. HttpServerCodec gives way to a decoder and an encoder in handlers of their own; the encoder knows of HEAD requests as the codec did.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/HttpServer.java
@@ -9,7 +9,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -322,7 +322,12 @@
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(Math.max(MAX_HEADER_BYTES, limits().maxHeaderBytes()))
                 .setTrailersFactory(DroppedTrailers.factory());
-        channel.pipeline().addLast(connection.headTimer(), new HttpServerCodec(config), connection);
+        channel.pipeline()
+                .addLast(
+                        connection.headTimer(),
+                        new HttpRequestDecoder(config),
+                        new CallerResponseEncoder(connection::answersHead),
+                        connection);
         pressure.connections().add(connection);
     }
 
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ServerConnection.java
@@ -13,8 +13,10 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -57,6 +59,7 @@
     private ArrivingRequest arriving;
     private final HeadTimer headTimer = new HeadTimer();
     private ConnectionWriter current;
+    private boolean answersHead;
     private long lastActiveNanos;
     private long lastReadNanos;
     private long checkedNanos;
@@ -79,6 +82,11 @@
         return headTimer;
     }
 
+    /** Returns whether the newest response is one to a HEAD request. */
+    boolean answersHead() {
+        return answersHead;
+    }
+
     boolean busy() {
         return current != null || !pipelined.isEmpty();
     }
@@ -337,7 +345,7 @@
             headTimer.requestEnded();
             int behindCurrent = current == null ? pipelined.size() - 1 : pipelined.size();
             if (behindCurrent >= MAX_PIPELINED) {
-                closing = true;
+                stopReceiving();
                 request.release();
                 updateReading();
                 return;
@@ -363,13 +371,25 @@
     @Override
     public void givenUp() {
         if (headTimer.headBegun()) {
-            closing = true;
+            stopReceiving();
             context.close();
         } else {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
 
+    /**
+     * Handles nothing more that the caller sends. What the decoder holds of an incomplete request is released at once:
+     * it is no longer accounted for, and a closed channel stays in memory until the event loop has read all others.
+     */
+    private void stopReceiving() {
+        closing = true;
+        ChannelHandlerContext decoder = context.pipeline().context(HttpRequestDecoder.class);
+        if (decoder != null) {
+            context.pipeline().remove(decoder.handler());
+        }
+    }
+
     private void releaseArriving() {
         if (arriving != null) {
             arriving.release();
@@ -415,6 +435,7 @@
         }
         BufferedRequest request = pipelined.removeFirst();
         current = new ConnectionWriter(this, context, request);
+        answersHead = request.arrived().head().method().equals(HttpMethod.HEAD);
         updateReading();
         try {
             server.handler().handle(request.arrived().head(), request.body(), current);
@@ -443,7 +464,7 @@
         request.release();
         lastActiveNanos = server.time().nanoTime();
         if (closeAfter || lastOnConnection()) {
-            closing = true;
+            stopReceiving();
             clearPipelined();
             context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
         } else {
@@ -458,7 +479,7 @@
     /** Closes the connection because a response cannot be completed. */
     void abortResponse(BufferedRequest request) {
         current = null;
-        closing = true;
+        stopReceiving();
         request.release();
         context.close();
     }
@@ -498,7 +519,7 @@
      * earlier request is open, the connection closes after the responses to those before it.
      */
     private void reject(HttpResponseStatus status) {
-        closing = true;
+        stopReceiving();
         releaseArriving();
         updateReading();
         if (busy()) {
--- a/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/HttpServerTest.java
@@ -42,6 +42,11 @@
     private final EventLoop loop = (EventLoop) group.next();
     private final HttpServer server = HttpServer.of(loop, TimeSource.system(), () -> LIMITS, (head, body, writer) -> {
         lastBody = body;
+        if (head.uri().equals("/chunks")) {
+            writer.start(200, new DefaultHttpHeaders());
+            writer.end();
+            return;
+        }
         writer.writeFull(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[] {'o', 'k'}));
     });
     private volatile byte[] lastBody;
@@ -308,6 +313,19 @@
 
     @Nested
     class HeadRequests {
+        /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
+        @Test
+        void getNoLastChunk() throws Exception {
+            try (Socket socket = connect()) {
+                write(socket, "HEAD /chunks HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+
+                assertThat(readToEnd(socket))
+                        .containsIgnoringCase("transfer-encoding: chunked")
+                        .endsWith("\r\n\r\n")
+                        .doesNotContain("\r\n\r\n0");
+            }
+        }
+
         /** Guards against a body behind the response to HEAD, which the caller takes for the next response. */
         @Test
         void getNoBody() throws Exception {
