Judge a failed connection by what the upstream served meanwhile

Cause: a burst of connections fills the accept queue of the upstream. The connects that the kernel drops time out together after 500 ms, count as consecutive failures and open the circuit breaker, although the upstream has served others since they began. Traced by the reason no-upstream of all refusals, seven attempts with not-connected within 13 ms before the first, and the listen overflows of the kernel; the budget of requests refused none.

Change: a connection that fails does not count against an upstream that has served a request since the connection was begun.

Result: getsRequestsAlthoughConnectionsTimeOutWhileItServesOthers failed with the comparison disabled and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -52,6 +52,7 @@
     private int sentSinceReport;
     private int endedSinceReport;
     private double failureShare;
+    private OptionalLong lastSuccessNanos = OptionalLong.empty();
     private long lastByteNanos;
     private long lastReceivedNanos;
     private long pausedUntilNanos;
@@ -392,6 +393,7 @@
     /** Records a response that shows that the upstream works. */
     public void recordSuccess(long nowNanos) {
         breaker.onSuccess(nowNanos);
+        lastSuccessNanos = OptionalLong.of(nowNanos);
         recordAcceptance();
         failureShare -= FAILURE_SMOOTHING * failureShare;
     }
@@ -427,6 +429,22 @@
         failureShare += FAILURE_SMOOTHING * (1 - failureShare);
     }
 
+    /**
+     * Records that a connection could not be established. If the upstream has served a request since the connection was
+     * begun, its accept queue was full for a moment, and it has not failed.
+     *
+     * @param startNanos monotonic time at which the connection was begun
+     * @param nowNanos monotonic time
+     * @return whether this counts as a failure of the upstream
+     */
+    public boolean recordConnectFailure(long startNanos, long nowNanos) {
+        if (lastSuccessNanos.isPresent() && lastSuccessNanos.getAsLong() - startNanos > 0) {
+            return false;
+        }
+        recordFailure(nowNanos);
+        return true;
+    }
+
     /**
      * Records that the upstream refused a request, and pauses sending to it. The pause doubles with each consecutive
      * refusal, up to a limit, until the upstream accepts a request.
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -264,13 +264,17 @@
     }
 
     private void recordFailure(CallFailure failure) {
-        upstream.recordFailure(context.time().nanoTime());
+        long now = context.time().nanoTime();
+        if (failure == CallFailure.NOT_CONNECTED) {
+            if (upstream.recordConnectFailure(startNanos, now)) {
+                context.httpClient().closeIdle(upstream.listing().address());
+            }
+            return;
+        }
+        upstream.recordFailure(now);
         if (failure.verdict() == Verdict.MAY_HAVE_RUN && !responseBegun()) {
             reportUnanswered(failure);
         }
-        if (failure == CallFailure.NOT_CONNECTED) {
-            context.httpClient().closeIdle(upstream.listing().address());
-        }
     }
 
     private static String reason(CallFailure failure) {
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -57,6 +57,28 @@
         assertThat(upstream.acceptsRequests(pause.toNanos())).isTrue();
     }
 
+    // Guards against a sound upstream that gets no requests after a burst of connections that its accept queue dropped.
+    @Test
+    void getsRequestsAlthoughConnectionsTimeOutWhileItServesOthers() {
+        long startNanos = Duration.ofMillis(100).toNanos();
+        long endNanos = Duration.ofMillis(600).toNanos();
+        upstream.recordSuccess(Duration.ofMillis(300).toNanos());
+        for (int i = 0; i < 20; i++) {
+            upstream.recordConnectFailure(startNanos, endNanos);
+        }
+        assertThat(upstream.acceptsRequests(endNanos)).isTrue();
+    }
+
+    // Guards against an upstream that gets requests although none of its connections can be established any more.
+    @Test
+    void getsNoRequestsIfConnectionsFailThatBeganAfterItsLastResponse() {
+        upstream.recordSuccess(0);
+        for (int i = 0; i < 20; i++) {
+            upstream.recordConnectFailure(1, 2);
+        }
+        assertThat(upstream.acceptsRequests(2)).isFalse();
+    }
+
     // Guards against an engine that is considered dead while it prefills the prompts of a burst and sends nothing.
     @Test
     void isAliveWhileItsSidecarReports() {
