Fail a response that the head of another one may have completed

Cause: a response ended when its declared length was full. An engine that truncates a response, keeps the connection and sends the response once more fills it with the begin of the copy. The bytes behind it only kept the connection from being reused, and not if the decoder had no whole message yet.

Change: the decoder tells whether it holds bytes behind a response. If so, the connection is closed, and the response fails as malformed if its body contains the start of a status line or ends inside one. Other responses with bytes behind them are delivered as before. HttpClientCodec gives way to a decoder and an encoder; the test of bytes before the first request is set up with them.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ResponseMemory.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ResponseMemory.java
@@ -68,6 +68,11 @@
             return content.readableBytes();
         }
 
+        /** Returns the content, which is valid until more is added or the buffer is closed. */
+        ByteBuf content() {
+            return content.asReadOnly();
+        }
+
         /** Adds received bytes; has no effect once the buffer is closed. May give up a response, also this one. */
         void add(ByteBuf received) {
             if (closed || !received.isReadable()) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -254,6 +254,15 @@
         }
     }
 
+    @Override
+    public void onEndFollowedByBytes() {
+        if (!closed && !streaming() && !head.notRun() && MergedBody.isPossible(body.content())) {
+            onFailure(CallFailure.MALFORMED);
+        } else {
+            onEnd();
+        }
+    }
+
     @Override
     public void onFailure(CallFailure failure) {
         if (closed) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ClientConnection.java
@@ -35,6 +35,7 @@
 
     private final PooledHttpClient client;
     private final Address address;
+    private final ResponseDecoder decoder;
     private ChannelHandlerContext context;
     private ResponseListener listener;
     private final Set<Integer> requestIdHashes = new HashSet<>();
@@ -44,14 +45,23 @@
     private boolean reusable;
     private boolean wasReset;
     private ResponseListener ended;
+    private boolean endFollowed;
     private int otherResponses;
     private int skippedBytes;
     private long idleSinceNanos;
     private Duration idleTimeout = Duration.ofDays(1);
 
-    ClientConnection(PooledHttpClient client, Address address) {
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param client client that the connection belongs to
+     * @param address address of the server
+     * @param decoder decoder of the connection, which goes before this handler
+     */
+    ClientConnection(PooledHttpClient client, Address address, ResponseDecoder decoder) {
         this.client = client;
         this.address = address;
+        this.decoder = decoder;
     }
 
     Address address() {
@@ -96,6 +106,7 @@
         reusable = false;
         otherResponses = 0;
         skippedBytes = 0;
+        decoder.expectResponseTo(request.method());
         context.writeAndFlush(request).addListener(write -> noteReset(write.cause()));
         return new ConnectionCall(newListener);
     }
@@ -115,6 +126,7 @@
             if (listener == null) {
                 // Unsolicited bytes: responses on this connection can no longer be matched to requests.
                 reusable = false;
+                endFollowed = true;
                 client.removeIdle(this);
                 ctx.close();
             } else if (((HttpObject) message).decoderResult().isFailure()) {
@@ -244,12 +256,17 @@
         }
         ResponseListener finished = ended;
         ended = null;
-        if (reusable && context.channel().isActive()) {
+        endFollowed |= decoder.holdsBytes();
+        if (reusable && !endFollowed && context.channel().isActive()) {
             client.returnToPool(this);
         } else {
             context.close();
         }
-        finished.onEnd();
+        if (endFollowed) {
+            finished.onEndFollowedByBytes();
+        } else {
+            finished.onEnd();
+        }
     }
 
     private void fail(CallFailure failure) {
--- a/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/PooledHttpClient.java
@@ -7,8 +7,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Comparator;
@@ -169,11 +169,12 @@
         if (open >= maxConnections) {
             closeLongestIdle();
         }
-        ClientConnection handler = new ClientConnection(this, address);
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
+        ResponseDecoder decoder = new ResponseDecoder(config);
+        ClientConnection handler = new ClientConnection(this, address, decoder);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -184,13 +185,7 @@
                     protected void initChannel(Channel channel) {
                         open++;
                         channel.closeFuture().addListener(closed -> open--);
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(
-                                                config,
-                                                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
-                                                HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
-                                        handler);
+                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), handler);
                     }
                 });
         bootstrap
--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseListener.java
@@ -30,6 +30,14 @@
     /** Called once when the response is complete. */
     void onEnd();
 
+    /**
+     * Called instead of {@link #onEnd()} if more bytes came right behind the response. The upstream may then have
+     * truncated it, so that the bytes of another response completed its declared length.
+     */
+    default void onEndFollowedByBytes() {
+        onEnd();
+    }
+
     /** Called once when the call fails before the response is complete. */
     void onFailure(CallFailure failure);
 }
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -11,9 +11,10 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -232,8 +233,9 @@
         /** Guards against a call without an end, because its new connection was closed before it was used. */
         @Test
         void failTheCall() throws Exception {
-            ClientConnection connection = new ClientConnection(client, new Address("127.0.0.1", 1));
-            EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+            ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
+            ClientConnection connection = new ClientConnection(client, new Address("127.0.0.1", 1), decoder);
+            EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
             channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", UTF_8));
             Recorder recorder = new Recorder("first");
 
