End a response without a length with its connection

The decoder that tells whether bytes follow a response took the end of a connection, which ends a response without a length, for bytes behind it. Such a response failed if its body ends like the start of a status line.

TruncatedResponseTest.isDeliveredIfItEndsWithItsConnection failed before (502 in place of 200) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/ResponseDecoder.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/ResponseDecoder.java
@@ -34,12 +34,26 @@
         int messages = out.size();
         super.decode(context, in, out);
         if (out.size() > messages) {
-            betweenResponses = out.get(out.size() - 1) instanceof LastHttpContent;
+            betweenResponses = endsResponse(out);
         } else if (in.readableBytes() < readable) {
             betweenResponses = false;
         }
     }
 
+    /** Ends a response without a length, which ends with its connection. */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        int messages = out.size();
+        super.decodeLast(context, in, out);
+        if (out.size() > messages) {
+            betweenResponses = endsResponse(out);
+        }
+    }
+
+    private static boolean endsResponse(List<Object> messages) {
+        return messages.get(messages.size() - 1) instanceof LastHttpContent;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage response) {
         return headRequested || super.isContentAlwaysEmpty(response);
