State in the log when an attempt was sent and how old its version was

The event now states send_ms (from the choice of the upstream to the write, "none" if nothing was sent), age_ms and outdated_ms. No logic is changed.

--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/AttemptLog.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/AttemptLog.java
@@ -50,23 +50,33 @@
     static void failed(
             ExchangeContext context,
             Exchange exchange,
-            int attempt,
-            Upstream upstream,
+            int number,
+            UpstreamAttempt attempt,
             Verdict verdict,
             String reason) {
+        Upstream upstream = attempt.upstream();
         context.log()
                 .write(
                         Event.ATTEMPT_FAILED,
                         "request",
                         exchange.id(),
                         "attempt",
-                        attempt,
+                        number,
                         "upstream",
                         upstream.id(),
                         "verdict",
                         verdict,
                         "reason",
                         reason,
+                        "send_ms",
+                        attempt.timeToSend()
+                                .map(Duration::toMillis)
+                                .map(Object.class::cast)
+                                .orElse("none"),
+                        "age_ms",
+                        attempt.age().toMillis(),
+                        "outdated_ms",
+                        context.outdatedFor(upstream).map(Duration::toMillis).orElse(0L),
                         "last_event",
                         exchange.lastEventId(),
                         "failure_share",
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/Exchange.java
@@ -328,12 +328,12 @@
     }
 
     /** Records that the open attempt has stalled; it may have run, and goes on. */
-    void recordStalledAttempt(Upstream upstream, String reason) {
+    void recordStalledAttempt(UpstreamAttempt stalled, String reason) {
         attempt = null;
         possibleRuns++;
         mayHaveRun = true;
         history.stall(Verdict.MAY_HAVE_RUN, reason);
-        AttemptLog.failed(context, this, attempts, upstream, Verdict.MAY_HAVE_RUN, reason);
+        AttemptLog.failed(context, this, attempts, stalled, Verdict.MAY_HAVE_RUN, reason);
     }
 
     /**
@@ -527,13 +527,13 @@
             if (hedge.isOpen()) {
                 hedge.report(HedgeOutcome.FIRST_FAILED, attempt, failed);
                 recordRefusal(failed.upstream(), verdict, upstreamFull);
-                AttemptLog.failed(context, this, hedge.firstNumber(), failed.upstream(), verdict, reason);
+                AttemptLog.failed(context, this, hedge.firstNumber(), failed, verdict, reason);
                 endHedgedAttempt(verdict, reason);
             }
             earlierAttempt = null;
             return;
         }
-        recordFailedAttempt(failed.upstream(), verdict, reason, upstreamFull);
+        recordFailedAttempt(failed, verdict, reason, upstreamFull);
         if (earlierAttempt != null) {
             resumeEarlierAttempt(HedgeOutcome.FAILED, failed);
             checkStall(context.time().nanoTime());
@@ -545,13 +545,13 @@
     }
 
     /** Records a failed attempt, with the other parameters of {@link #onAttemptFailed}. */
-    void recordFailedAttempt(Upstream upstream, Verdict verdict, String reason, boolean upstreamFull) {
+    void recordFailedAttempt(UpstreamAttempt failed, Verdict verdict, String reason, boolean upstreamFull) {
         cancelReplacement();
         attempt = null;
-        endAttempt(upstream, verdict, reason);
-        recordRefusal(upstream, verdict, upstreamFull);
+        endAttempt(failed.upstream(), verdict, reason);
+        recordRefusal(failed.upstream(), verdict, upstreamFull);
         countPossibleRun(verdict == Verdict.MAY_HAVE_RUN);
-        AttemptLog.failed(context, this, attempts, upstream, verdict, reason);
+        AttemptLog.failed(context, this, attempts, failed, verdict, reason);
     }
 
     private void recordRefusal(Upstream upstream, Verdict verdict, boolean upstreamFull) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -44,6 +44,7 @@
     private boolean closed;
     private boolean paused;
     private long lastProgressNanos;
+    private OptionalLong sentNanos = OptionalLong.empty();
 
     private UpstreamAttempt(Exchange exchange, ExchangeContext context, Upstream upstream) {
         this.exchange = exchange;
@@ -70,6 +71,9 @@
                         context.dialect().encode(exchange.request(), attempt.forwarding()),
                         maxReuseIdleTime,
                         attempt);
+        if (attempt.call.sent()) {
+            attempt.sentNanos = OptionalLong.of(attempt.startNanos);
+        }
         return attempt;
     }
 
@@ -93,7 +97,14 @@
         return call.sent();
     }
 
-    /** Returns the time since the request was sent. */
+    /** Returns the time from the choice of the upstream until the request was sent; empty if it was not. */
+    Optional<Duration> timeToSend() {
+        return sentNanos.isEmpty()
+                ? Optional.empty()
+                : Optional.of(Duration.ofNanos(sentNanos.getAsLong() - startNanos));
+    }
+
+    /** Returns the time since the upstream was chosen. */
     Duration age() {
         return context.time().since(startNanos);
     }
@@ -124,13 +135,13 @@
         CallFailure failure = sent ? CallFailure.TIMED_OUT : CallFailure.NOT_CONNECTED;
         recordFailure(failure);
         close();
-        exchange.recordFailedAttempt(upstream, failure.verdict(), reason(failure), false);
+        exchange.recordFailedAttempt(this, failure.verdict(), reason(failure), false);
     }
 
     /** Records that the upstream has stalled, without ending the attempt. */
     void recordStall() {
         recordFailure(CallFailure.TIMED_OUT);
-        exchange.recordStalledAttempt(upstream, reason(CallFailure.TIMED_OUT));
+        exchange.recordStalledAttempt(this, reason(CallFailure.TIMED_OUT));
     }
 
     /** Returns whether the upstream has begun to answer the request, with weights that no later version replaces. */
@@ -170,6 +181,8 @@
             call.cancel();
         } else if (!context.placementAllowed(exchange, upstream)) {
             withdraw("placement-changed");
+        } else {
+            sentNanos = OptionalLong.of(context.time().nanoTime());
         }
     }
 
--- a/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
+++ b/kernel/src/main/java/org/masticcroft/kernel/event/Event.java
@@ -31,7 +31,9 @@
     ROUTING_DECISION(1200, "An upstream was chosen for a request; candidates and reason are given."),
     REQUEST_REFUSED(1201, "A request was refused before any upstream executed it."),
     REQUEST_FINISHED(1202, "A request ended; verdict, attempts and durations are given."),
-    ATTEMPT_FAILED(1203, "An attempt on an upstream failed; verdict and code are given."),
+    ATTEMPT_FAILED(
+            1203,
+            "An attempt on an upstream failed; verdict, code and its times until it was sent and failed are given."),
     ADMISSION_DECISION(1204, "A request was queued or refused by the admission queue."),
     CLAIM_DECIDED(1205, "The claim of an idempotency key was decided."),
     BREAKER_CHANGED(1206, "The circuit breaker of an upstream changed its state."),
