Ask again whether a request may be sent once its connection is there

Callers had requests run on weights that were replaced more than version_ms before.

Cause: whether an upstream may still begin a request on its weights, and whether it has left, was decided when the upstream was chosen. A new connection may be established up to 500 ms later over a full link, and later still if the event loop is late; only the placement was asked again.

The choice and the send now ask the same question (sendObjection). What may not be sent any more is withdrawn as not run, and goes elsewhere or is refused at once. The wait that the limit assumes contains the time that the connection took, because an open attempt counts as a wait at its upstream.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/ServiceQueue.java
@@ -144,6 +144,15 @@
         return choice.isPresent();
     }
 
+    /**
+     * Returns why a request must not be sent any more to the upstream that was chosen for it, for the log; empty if it
+     * may be sent. To be asked right before the send.
+     */
+    public Optional<String> sendObjection(
+            QueuedRequest request, Upstream upstream, Optional<EngineProfile> profile, VersionLimit statedLimit) {
+        return chooser.sendObjection(request, upstream, profile, forSlowResponses(statedLimit), time.nanoTime());
+    }
+
     /** Returns what {@link #add} would do with a request that was not sent before, and changes nothing. */
     public QueueForecast forecast(QueuedRequest request, Optional<EngineProfile> profile, VersionLimit statedLimit) {
         long now = time.nanoTime();
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/Upstream.java
@@ -231,7 +231,12 @@
 
     /** Returns whether the upstream may get requests, now or after the pause that follows a refusal. */
     public boolean usable(long nowNanos) {
-        return !removed && !saysLeaving && !listing.leaving() && breaker.isCallPermitted(nowNanos);
+        return !left() && breaker.isCallPermitted(nowNanos);
+    }
+
+    /** Returns whether the upstream was removed from the list, or is about to exit. */
+    boolean left() {
+        return removed || saysLeaving || listing.leaving();
     }
 
     /** Returns whether the upstream is cold, so that it crashes on more requests than its service tolerates then. */
--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -177,6 +177,28 @@
         return !rules.check(request, upstream, nowNanos).lasting();
     }
 
+    /**
+     * Returns why a request must not be sent any more to the upstream that was chosen for it; empty if it may be sent.
+     * Room at the upstream and its pauses do not count, because the request has its place there already.
+     */
+    Optional<String> sendObjection(
+            QueuedRequest request,
+            Upstream upstream,
+            Optional<EngineProfile> profile,
+            VersionLimit versions,
+            long nowNanos) {
+        if (!allows(request, upstream, nowNanos)) {
+            return Optional.of("placement-changed");
+        }
+        if (upstream.left()) {
+            return Optional.of("upstream-left");
+        }
+        // The pending prompts contain that of the request.
+        boolean outdated = profile.isPresent()
+                && !servesVersion(upstream, versions, untilBegin(0, upstream, profile.get(), nowNanos));
+        return outdated ? Optional.of("weights-outdated") : Optional.empty();
+    }
+
     /** Returns whether an upstream accepts requests that may serve a request and was not tried for it yet. */
     public boolean anyUntried(QueuedRequest request, List<Upstream> upstreams, long nowNanos) {
         return upstreams.stream()
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -94,8 +94,8 @@
     /** Returns the regions in which the configuration in force allows a request to be served. */
     AllowedRegions allowedRegions(CallerRequest request);
 
-    /** Returns whether a request may still be sent to the upstream that was chosen for it. */
-    boolean placementAllowed(Exchange exchange, Upstream upstream);
+    /** Returns why a request must not be sent any more to the upstream that was chosen for it; empty if it may be. */
+    Optional<String> sendObjection(Exchange exchange, Upstream upstream);
 
     /** Is called when an upstream failed that may have run a request and had sent nothing of the response. */
     void onUpstreamFailed(Exchange exchange, Upstream upstream, CallFailure failure);
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -173,14 +173,18 @@
 
     /**
      * Sends nothing if the caller has left while the connection was established, or if the upstream must not get the
-     * request any more because of an evacuation or a new configuration.
+     * request any more. The choice of the upstream may be old by now: the connection is established late over a link
+     * that is full, or if this process is late.
      */
     @Override
     public void onConnected() {
         if (!exchange.callerConnected()) {
             call.cancel();
-        } else if (!context.placementAllowed(exchange, upstream)) {
-            withdraw("placement-changed");
+            return;
+        }
+        Optional<String> objection = context.sendObjection(exchange, upstream);
+        if (objection.isPresent()) {
+            withdraw(objection.get());
         } else {
             sentNanos = OptionalLong.of(context.time().nanoTime());
         }
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -447,8 +447,9 @@
     }
 
     @Override
-    public boolean placementAllowed(Exchange exchange, Upstream upstream) {
-        return chooser.allows(exchange, upstream, time.nanoTime());
+    public Optional<String> sendObjection(Exchange exchange, Upstream upstream) {
+        String service = upstream.listing().service();
+        return queue(service).sendObjection(exchange, upstream, profile(service), versionLimit(service));
     }
 
     @Override
