Receive a response of the store for as long as its parts keep coming

Cause: a read had to be complete 0.9 s after it was sent, however much of it had arrived. When many processes read a large configuration at once over the link of a region, none is complete by then; all of them are given up and transferred again, which keeps the link full.

Other calls keep their total timeout.

PooledHttpClientTest.ASlowResponse: three tests. The first one is what was not possible before: with the total timeout of 500 ms, a response of 1.2 s whose parts come every 200 ms fails.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
@@ -11,13 +11,19 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.masticcroft.kernel.time.TimeSource;
 
 /** A call that buffers the complete response, with a timeout. */
 public final class BufferedCall implements ResponseListener {
     /** Maximum size of a response; the largest proper ones are pages of the store, of about 1.4 MB. */
     private static final int MAX_BODY_BYTES = 4_194_304;
 
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final Limits limits;
     private final Consumer<Result> onResult;
+    private final long startNanos;
+    private long lastPartNanos;
     private Future<?> timer;
     private Call call;
     private int status;
@@ -25,8 +31,13 @@
     private final ByteBuf body = Unpooled.buffer();
     private boolean completed;
 
-    private BufferedCall(Consumer<Result> onResult) {
+    private BufferedCall(EventLoop loop, TimeSource time, Limits limits, Consumer<Result> onResult) {
+        this.loop = loop;
+        this.time = time;
+        this.limits = limits;
         this.onResult = onResult;
+        this.startNanos = time.nanoTime();
+        this.lastPartNanos = startNanos;
     }
 
     /**
@@ -36,7 +47,7 @@
      * @param loop event loop of the client
      * @param address address of the server
      * @param request the request
-     * @param limits connection reuse and timeout
+     * @param limits connection reuse and timeouts
      * @param onResult receives the result once
      */
     public static void send(
@@ -46,19 +57,21 @@
             FullHttpRequest request,
             Limits limits,
             Consumer<Result> onResult) {
-        BufferedCall buffered = new BufferedCall(onResult);
-        buffered.timer = loop.schedule(buffered::timedOut, limits.timeout().toNanos(), TimeUnit.NANOSECONDS);
+        BufferedCall buffered = new BufferedCall(loop, client.time(), limits, onResult);
+        buffered.awaitParts(limits.timeout());
         buffered.call = client.send(address, request, limits.maxIdle(), buffered);
     }
 
     @Override
     public void onHead(HttpResponse head) {
+        lastPartNanos = time.nanoTime();
         status = head.status().code();
         headers = head.headers();
     }
 
     @Override
     public void onContent(ByteBuf content) {
+        lastPartNanos = time.nanoTime();
         if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
             call.cancel();
             onFailure(CallFailure.MALFORMED);
@@ -77,10 +90,22 @@
         end(Result.failed(failure));
     }
 
-    private void timedOut() {
-        if (!completed) {
+    private void awaitParts(Duration wait) {
+        timer = loop.schedule(this::checkTimeouts, wait.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private void checkTimeouts() {
+        if (completed) {
+            return;
+        }
+        Duration left = limits.timeout().minus(time.since(lastPartNanos));
+        Duration leftInAll = limits.longest().minus(time.since(startNanos));
+        Duration wait = left.compareTo(leftInAll) < 0 ? left : leftInAll;
+        if (wait.isZero() || wait.isNegative()) {
             call.cancel();
             end(Result.failed(CallFailure.TIMED_OUT));
+        } else {
+            awaitParts(wait);
         }
     }
 
@@ -96,9 +121,15 @@
      * Limits of a call.
      *
      * @param maxIdle longest time that a pooled connection may have been idle to be reused
-     * @param timeout longest time until the response is complete
+     * @param timeout longest time without a part of the response
+     * @param longest longest time until the response is complete
      */
-    public record Limits(Duration maxIdle, Duration timeout) {}
+    public record Limits(Duration maxIdle, Duration timeout, Duration longest) {
+        /** Creates the limits of a call whose response must be complete within the timeout. */
+        public Limits(Duration maxIdle, Duration timeout) {
+            this(maxIdle, timeout, timeout);
+        }
+    }
 
     /**
      * Result of a call.
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -23,6 +23,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -30,6 +31,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -489,6 +491,51 @@
         }
     }
 
+    @Nested
+    class ASlowResponse {
+        private static final int PARTS = 6;
+
+        private String receive(Duration longest, Duration betweenParts) throws Exception {
+            try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
+                out.write(MisbehavingServer.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\n\r\n"));
+                for (int i = 0; i < PARTS; i++) {
+                    out.write('x');
+                    out.flush();
+                    LockSupport.parkNanos(betweenParts.toNanos());
+                }
+            })) {
+                CompletableFuture<BufferedCall.Result> result = new CompletableFuture<>();
+                loop.execute(() -> BufferedCall.send(
+                        client,
+                        loop,
+                        server.address(),
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                        new BufferedCall.Limits(Duration.ZERO, Duration.ofMillis(500), longest),
+                        result::complete));
+                BufferedCall.Result received = result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                return received.ok() ? received.body().toString(StandardCharsets.US_ASCII) : received.reason();
+            }
+        }
+
+        /** Guards against a large response that is given up, and transferred again, while its parts keep coming. */
+        @Test
+        void isReceivedWhileItsPartsKeepComing() throws Exception {
+            assertThat(receive(Duration.ofSeconds(10), Duration.ofMillis(200))).isEqualTo("x".repeat(PARTS));
+        }
+
+        /** Guards against a call that waits for a response whose parts no longer come. */
+        @Test
+        void failsAfterATimeWithoutParts() throws Exception {
+            assertThat(receive(Duration.ofSeconds(10), Duration.ofSeconds(2))).isEqualTo("TIMED_OUT");
+        }
+
+        /** Guards against a response that goes on for ever. */
+        @Test
+        void failsAfterTheLongestTime() throws Exception {
+            assertThat(receive(Duration.ofMillis(700), Duration.ofMillis(200))).isEqualTo("TIMED_OUT");
+        }
+    }
+
     @Nested
     class ACancelledCall {
         /** Guards against a server that takes the close for the end of the request and still runs it. */
