Leave the configuration out of the repeated reads of sidecars

Callers had requests run on old weights, because requests and the resets of withdrawn ones took a second to cross the link between two regions. The link was full of configurations.

Cause: each sidecar read the whole directory of the operator every 15 s, and all of them at about the same time. After the configuration had grown by some thousand routes, 17 sidecars of a region fetched it over a link of 18.9 Mbit/s, which takes seconds.

A sidecar needs the origin and the engine profile of the configuration, which rarely change. It reads the whole directory at its start and then every 60 to 120 s, at random; in between it reads the records behind the configuration.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/FleetStore.java
@@ -11,6 +11,12 @@
     /** Reads the newest record of each key of a directory. */
     void readAll(Directory directory, Consumer<DirectoryReply> reply);
 
+    /**
+     * Reads the newest record of each key of the operator's directory but that of the configuration, which is by far
+     * the largest.
+     */
+    void readOperatorWithoutConfig(Consumer<DirectoryReply> reply);
+
     /**
      * Reads the records from an offset on.
      *
--- a/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/SidecarNode.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.Future;
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.masticcroft.gateway.fleet.Directory;
 import org.masticcroft.gateway.fleet.DirectoryReply;
@@ -77,6 +79,12 @@
     /** Interval between reads of the operator directory; new versions arrive sooner, in subscriptions of entries. */
     private static final long OPERATOR_READ_INTERVAL_MILLIS = 15_000;
 
+    /**
+     * Least time between reads of the configuration, of which a sidecar needs only what rarely changes. The sidecars of
+     * a region share its link to the store, so each adds a random time of up to the same length.
+     */
+    private static final Duration CONFIG_READ_INTERVAL = Duration.ofSeconds(60);
+
     private final NodeSettings settings;
     private final TimeSource time;
     private final EventLoop loop;
@@ -107,6 +115,7 @@
     private long upstreamsReadNanos;
     private boolean upstreamsRead;
     private Future<?> nextOperatorRead;
+    private OptionalLong nextConfigReadNanos = OptionalLong.empty();
     private boolean readOperatorDirectoryAgain;
 
     private SidecarNode(
@@ -193,19 +202,40 @@
 
     private void readOperatorDirectory() {
         try {
-            dependencies.store().readAll(Directory.OPERATOR, this::handleOperatorReply);
+            if (nextConfigReadNanos.isPresent() && nextConfigReadNanos.getAsLong() - time.nanoTime() > 0) {
+                dependencies
+                        .store()
+                        .readOperatorWithoutConfig(reply -> handleOperatorReply(reply, OPERATOR_READ_INTERVAL_MILLIS));
+            } else {
+                dependencies.store().readAll(Directory.OPERATOR, this::handleFullOperatorReply);
+            }
         } catch (RuntimeException e) {
             log.write(Event.INTERNAL_ERROR, e, "component", "operator-directory");
             readOperatorDirectoryAfter(STORE_RETRY_DELAY_MILLIS);
         }
     }
 
-    private void handleOperatorReply(DirectoryReply reply) {
+    private void handleFullOperatorReply(DirectoryReply reply) {
+        boolean configRead = reply.changes().stream().anyMatch(change -> change instanceof FleetChange.ConfigPublished);
+        if (configRead) {
+            long spreadNanos = (long) (dependencies.random().nextDouble() * CONFIG_READ_INTERVAL.toNanos());
+            nextConfigReadNanos = OptionalLong.of(time.nanoTime() + CONFIG_READ_INTERVAL.toNanos() + spreadNanos);
+        }
+        handleOperatorReply(
+                reply, reply.changes().isEmpty() ? STORE_RETRY_DELAY_MILLIS : OPERATOR_READ_INTERVAL_MILLIS);
+    }
+
+    /**
+     * Handles the reply of a read of the operator directory.
+     *
+     * @param intervalMillis time until the next read if this one succeeded
+     */
+    private void handleOperatorReply(DirectoryReply reply, long intervalMillis) {
         long delayMillis = STORE_RETRY_DELAY_MILLIS;
         try {
             if (reply.status() == DirectoryReply.Status.READ) {
                 reply.changes().forEach(this::applyChange);
-                delayMillis = reply.changes().isEmpty() ? STORE_RETRY_DELAY_MILLIS : OPERATOR_READ_INTERVAL_MILLIS;
+                delayMillis = intervalMillis;
             } else {
                 log.write(Event.STORE_LOST, "directory", Directory.OPERATOR, "reason", reply.reason());
             }
@@ -225,6 +255,7 @@
         log.write(Event.STORE_RESTORED, "directory", Directory.OPERATOR, "era", era, "previous", previousEra);
         updater.storeRestored();
         upstreamsRead = false;
+        nextConfigReadNanos = OptionalLong.empty();
         if (nextOperatorRead != null && nextOperatorRead.cancel(false)) {
             readOperatorDirectoryAfter(0);
         } else {
--- a/gateway/src/test/java/org/masticcroft/gateway/account/StoreAccountLogTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/account/StoreAccountLogTest.java
@@ -208,6 +208,11 @@
             throw new UnsupportedOperationException("the test reads no directory");
         }
 
+        @Override
+        public void readOperatorWithoutConfig(Consumer<DirectoryReply> reply) {
+            throw new UnsupportedOperationException("the test has no sidecar");
+        }
+
         @Override
         public void readFrom(Directory directory, long from, Duration wait, Consumer<DirectoryReply> reply) {
             throw new UnsupportedOperationException("the test reads no directory");
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -373,6 +373,11 @@
             reply.accept(DirectoryReply.read(List.of(), 0));
         }
 
+        @Override
+        public void readOperatorWithoutConfig(Consumer<DirectoryReply> reply) {
+            throw new UnsupportedOperationException("the test has no sidecar");
+        }
+
         @Override
         public void readFrom(Directory directory, long from, Duration wait, Consumer<DirectoryReply> reply) {
             reads.incrementAndGet();
--- a/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
+++ b/standins/src/main/java/org/masticcroft/standins/platform/PlatformStoreStandIn.java
@@ -7,8 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.masticcroft.standins.fault.Faults;
 import org.masticcroft.standins.http.Call;
 import org.masticcroft.standins.http.Json;
@@ -23,6 +25,7 @@
     private final StandInServer server;
     private volatile Outage outage = Outage.NONE;
     private volatile int maxPageRecords = DEFAULT_PAGE_RECORDS;
+    private final Map<String, List<Integer>> newestPages = new ConcurrentHashMap<>();
 
     private PlatformStoreStandIn() {
         server = StandInServer.of(0, Faults.of(Map.of(), 1), Json::object)
@@ -67,6 +70,11 @@
         return topic(topic).newest().size();
     }
 
+    /** Returns the number of records on each page of the newest records of a topic that was read. */
+    public List<Integer> newestPages(String topic) {
+        return List.copyOf(newestPages.getOrDefault(topic, List.of()));
+    }
+
     /** Sets how the following calls fail. */
     public void setOutage(Outage newOutage) {
         outage = newOutage;
@@ -136,6 +144,9 @@
                     .put("offset", entry.offset());
         }
         page.put("truncated", truncated).put("end-offset", log.endOffset());
+        newestPages
+                .computeIfAbsent(call.queryText("topic", ""), topic -> new CopyOnWriteArrayList<>())
+                .add(items.size());
         if (!responseLost) {
             call.respond(200, page);
         }
