Count the delay of the path in the time until an engine begins a request

The request and the reset of its withdrawal both take that way.

Cause: the time until an engine begins a request was modelled from the engine alone, and the lead of a withdrawal assumed a short path. The longest recent wait at an upstream contains its path, but entries seldom send to an upstream of another region, so there often is none.

Each new connection measures the path to the data centre of its upstream. The longest handshake of the last 2 to 4 s counts in the time until the begin and in the lead of withdrawals.

ServiceQueueTest.OutdatedWeights.serveNoRequestThatIsLongOnItsWay guards it: with a delay of 0.9 s the request that would begin after the bound is refused; its first form without the delay is served, as before.

--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/UpstreamChooser.java
@@ -44,10 +44,12 @@
 
     private final String zone;
     private final PlacementRule rules;
+    private final PathDelays paths;
 
-    private UpstreamChooser(String zone, PlacementRule rules) {
+    private UpstreamChooser(String zone, PlacementRule rules, PathDelays paths) {
         this.zone = zone;
         this.rules = rules;
+        this.paths = paths;
     }
 
     /** Creates a chooser for an entry in the given data centre that allows every placement. */
@@ -55,14 +57,20 @@
         return of(zone, PlacementRules.of());
     }
 
+    /** Creates a chooser to whose upstreams all paths are short. */
+    public static UpstreamChooser of(String zone, PlacementRule rules) {
+        return of(zone, rules, PathDelays.unknown());
+    }
+
     /**
      * Creates a chooser.
      *
      * @param zone data centre of the entry
      * @param rules placements that are allowed
+     * @param paths delays of the paths to the upstreams
      */
-    public static UpstreamChooser of(String zone, PlacementRule rules) {
-        return new UpstreamChooser(zone, rules);
+    public static UpstreamChooser of(String zone, PlacementRule rules, PathDelays paths) {
+        return new UpstreamChooser(zone, rules, paths);
     }
 
     /**
@@ -216,7 +224,7 @@
                 .orElse(Duration.ZERO);
     }
 
-    private static boolean eligible(
+    private boolean eligible(
             QueuedRequest request,
             Upstream upstream,
             Optional<EngineProfile> profile,
@@ -252,9 +260,10 @@
 
     /**
      * Returns the time after which a request that is sent now has begun, or is withdrawn. It is a cautious estimate:
-     * other entries may have sent prompts that this one does not know of.
+     * other entries may have sent prompts that this one does not know of. The lead of the withdrawal contains the delay
+     * of the path, which both the request and its withdrawal take.
      */
-    private static Duration untilBegin(int promptTokens, Upstream upstream, EngineProfile profile, long nowNanos) {
+    private Duration untilBegin(int promptTokens, Upstream upstream, EngineProfile profile, long nowNanos) {
         double modelMillis =
                 upstream.lastReportedPace() * timeToFirstByteMillis(promptTokens, upstream, profile, nowNanos);
         Duration modelled = Duration.ofMillis((long) modelMillis);
@@ -264,9 +273,11 @@
     }
 
     /** Returns the time before a bound at which a request must be withdrawn so that its engine does not begin it. */
-    public static Duration withdrawalLead(Upstream upstream, EngineProfile profile, long nowNanos) {
+    public Duration withdrawalLead(Upstream upstream, EngineProfile profile, long nowNanos) {
         double passMillis = upstream.lastReportedPace() * profile.passMillis(upstream.load(nowNanos));
-        return WITHDRAWAL_TIME.plusMillis((long) (PASSES_UNTIL_WITHDRAWN * passMillis));
+        return WITHDRAWAL_TIME
+                .plus(paths.longest(upstream.listing().zone(), nowNanos))
+                .plusMillis((long) (PASSES_UNTIL_WITHDRAWN * passMillis));
     }
 
     private static double timeToFirstByteMillis(
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -94,6 +94,9 @@
     /** Returns the regions in which the configuration in force allows a request to be served. */
     AllowedRegions allowedRegions(CallerRequest request);
 
+    /** Is called when a new connection to an upstream is established, with the time that its handshake took. */
+    void onConnected(Upstream upstream, Duration handshake);
+
     /** Returns why a request must not be sent any more to the upstream that was chosen for it; empty if it may be. */
     Optional<String> sendObjection(Exchange exchange, Upstream upstream);
 
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/UpstreamAttempt.java
@@ -178,6 +178,7 @@
      */
     @Override
     public void onConnected() {
+        context.onConnected(upstream, age());
         if (!exchange.callerConnected()) {
             call.cancel();
             return;
--- a/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/node/EntryNode.java
@@ -28,6 +28,7 @@
 import org.masticcroft.gateway.dispatch.EngineMemory;
 import org.masticcroft.gateway.dispatch.EvacuatedDataCentres;
 import org.masticcroft.gateway.dispatch.GradualRefill;
+import org.masticcroft.gateway.dispatch.PathDelays;
 import org.masticcroft.gateway.dispatch.PlacementRules;
 import org.masticcroft.gateway.dispatch.PromptPartSuspects;
 import org.masticcroft.gateway.dispatch.QueuedRequest;
@@ -124,6 +125,7 @@
     private final ConfigValidity configValidity;
     private final RequestFilter filter;
     private final ColdUpstreams coldUpstreams;
+    private final PathDelays paths = PathDelays.unknown();
     private final UpstreamChooser chooser;
     private final CallerPressure callerPressure;
     private final CallerPressure internalPressure;
@@ -204,7 +206,8 @@
                         EngineMemory.of(fleet::profile, log),
                         SlotShare.of(settings.ip(), fleet::profile, upstreams::statedEntries),
                         GradualRefill.of(fleet.evacuations(), dependencies.random()),
-                        ConnectionRoom.of(httpClient::hasRoom)));
+                        ConnectionRoom.of(httpClient::hasRoom)),
+                paths);
         this.callerPressure = CallerPressure.of(settings.callerBudgets());
         this.callerServer = HttpServer.of(
                 loop, time, dependencies.inputs(), this::limits, callerPressure, this::timeLimit, this::handle);
@@ -377,7 +380,7 @@
         String service = upstream.listing().service();
         return profile(service)
                 .map(profile -> {
-                    Duration lead = UpstreamChooser.withdrawalLead(upstream, profile, time.nanoTime());
+                    Duration lead = chooser.withdrawalLead(upstream, profile, time.nanoTime());
                     return namedVersions.oldestAllowed(
                             profile.model(), settings.bounds().versionChange().minus(lead));
                 })
@@ -446,6 +449,11 @@
                 .orElse(AllowedRegions.all());
     }
 
+    @Override
+    public void onConnected(Upstream upstream, Duration handshake) {
+        paths.record(upstream.listing().zone(), handshake, time.nanoTime());
+    }
+
     @Override
     public Optional<String> sendObjection(Exchange exchange, Upstream upstream) {
         String service = upstream.listing().service();
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/ServiceQueueTest.java
@@ -28,7 +28,9 @@
     private final ManualTimeSource time = ManualTimeSource.of(Instant.EPOCH);
     private final DecisionLog log = DecisionLog.start(time, new PrintStream(OutputStream.nullOutputStream()));
     private final UpstreamTable table = UpstreamTable.of(log);
-    private final ServiceQueue queue = ServiceQueue.of("s", time, table, UpstreamChooser.of("z1"), log);
+    private final PathDelays paths = PathDelays.unknown();
+    private final ServiceQueue queue =
+            ServiceQueue.of("s", time, table, UpstreamChooser.of("z1", PlacementRules.of(), paths), log);
 
     @AfterEach
     void closeLog() {
@@ -379,6 +381,22 @@
             }
             assertThat(addShortlyBeforeTheBound().refusal).isPresent();
         }
+
+        /** Guards against a request that begins after the bound, because the link to its engine is full. */
+        @Test
+        void serveNoRequestThatIsLongOnItsWay() {
+            paths.record("z1", Duration.ofMillis(900), time.nanoTime());
+            assertThat(addShortlyBeforeTheBound().refusal).isPresent();
+        }
+
+        /** Guards against an entry that avoids a data centre long after the link to it was full. */
+        @Test
+        void serveARequestWhoseWayIsShortAgain() {
+            paths.record("z1", Duration.ofMillis(900), time.nanoTime());
+            paths.record("z2", Duration.ofMillis(900), time.nanoTime());
+            time.advance(Duration.ofSeconds(4));
+            assertThat(addShortlyBeforeTheBound().choice).isPresent();
+        }
     }
 
     @Nested
--- a/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/dispatch/UpstreamTest.java
@@ -93,11 +93,12 @@
     @Test
     void isWithdrawnFromAsEarlyWhenItsReportsEnd() {
         EngineProfile profile = new EngineProfile("m", 5, 9, 0.04, 19);
+        UpstreamChooser chooser = UpstreamChooser.of("z1");
         upstream.applyReport(new LoadReport(1, 0, 0, false, false, OptionalLong.of(1), 8), 0);
-        Duration reported = UpstreamChooser.withdrawalLead(upstream, profile, 0);
+        Duration reported = chooser.withdrawalLead(upstream, profile, 0);
         long afterReports = Duration.ofSeconds(3).toNanos();
         assertThat(upstream.pace(afterReports)).isEqualTo(1);
-        assertThat(UpstreamChooser.withdrawalLead(upstream, profile, afterReports))
+        assertThat(chooser.withdrawalLead(upstream, profile, afterReports))
                 .isEqualTo(reported)
                 .isGreaterThan(Duration.ofMillis(900));
     }
