Wait no longer for the next part of a response of the store than for its first

An entry would learn after up to 3.5 s that its connection has gone silent, later than the time within which it must know of an upstream that leaves.

Cause: the time between two parts was that of the first one, which contains the wait of the poll.

PooledHttpClientTest.ASlowResponse .failsSoonAfterItsLastPartIfTheFirstOneWasAwaitedForLong failed without the new limit (no result within 10 s) and passes.

--- a/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
@@ -24,6 +24,7 @@
     private final Consumer<Result> onResult;
     private final long startNanos;
     private long lastPartNanos;
+    private boolean receiving;
     private Future<?> timer;
     private Call call;
     private int status;
@@ -65,6 +66,7 @@
     @Override
     public void onHead(HttpResponse head) {
         lastPartNanos = time.nanoTime();
+        receiving = true;
         status = head.status().code();
         headers = head.headers();
     }
@@ -98,7 +100,8 @@
         if (completed) {
             return;
         }
-        Duration left = limits.timeout().minus(time.since(lastPartNanos));
+        Duration silence = receiving ? limits.betweenParts() : limits.timeout();
+        Duration left = silence.minus(time.since(lastPartNanos));
         Duration leftInAll = limits.longest().minus(time.since(startNanos));
         Duration wait = left.compareTo(leftInAll) < 0 ? left : leftInAll;
         if (wait.isZero() || wait.isNegative()) {
@@ -121,13 +124,14 @@
      * Limits of a call.
      *
      * @param maxIdle longest time that a pooled connection may have been idle to be reused
-     * @param timeout longest time without a part of the response
+     * @param timeout longest time until the first part of the response
+     * @param betweenParts longest time between two parts of the response
      * @param longest longest time until the response is complete
      */
-    public record Limits(Duration maxIdle, Duration timeout, Duration longest) {
+    public record Limits(Duration maxIdle, Duration timeout, Duration betweenParts, Duration longest) {
         /** Creates the limits of a call whose response must be complete within the timeout. */
         public Limits(Duration maxIdle, Duration timeout) {
-            this(maxIdle, timeout, timeout);
+            this(maxIdle, timeout, timeout, timeout);
         }
     }
 
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -496,6 +496,10 @@
         private static final int PARTS = 6;
 
         private String receive(Duration longest, Duration betweenParts) throws Exception {
+            return receive(Duration.ofMillis(500), longest, betweenParts);
+        }
+
+        private String receive(Duration timeout, Duration longest, Duration betweenParts) throws Exception {
             try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
                 out.write(MisbehavingServer.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\n\r\n"));
                 for (int i = 0; i < PARTS; i++) {
@@ -510,7 +514,7 @@
                         loop,
                         server.address(),
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-                        new BufferedCall.Limits(Duration.ZERO, Duration.ofMillis(500), longest),
+                        new BufferedCall.Limits(Duration.ZERO, timeout, Duration.ofMillis(500), longest),
                         result::complete));
                 BufferedCall.Result received = result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
                 return received.ok() ? received.body().toString(StandardCharsets.US_ASCII) : received.reason();
@@ -529,6 +533,15 @@
             assertThat(receive(Duration.ofSeconds(10), Duration.ofSeconds(2))).isEqualTo("TIMED_OUT");
         }
 
+        /** Guards against a long poll whose silent response is awaited for as long as the poll itself once more. */
+        @Test
+        void failsSoonAfterItsLastPartIfTheFirstOneWasAwaitedForLong() throws Exception {
+            long startNanos = System.nanoTime();
+            assertThat(receive(Duration.ofSeconds(2), Duration.ofSeconds(10), Duration.ofMillis(1900)))
+                    .isEqualTo("TIMED_OUT");
+            assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(Duration.ofSeconds(3));
+        }
+
         /** Guards against a response that goes on for ever. */
         @Test
         void failsAfterTheLongestTime() throws Exception {
