Count the time for which records of the store were under way to their age

Callers may have requests run on old weights because an entry takes the new version for younger than it is.

Cause: news counted from the end of the reply that brought it. A reply with a large configuration is received for a second over a full link, and a version that is named meanwhile comes with that reply or the next one.

The time from the first part of a reply to its end counts to the age of its records. What the next read brings is older by that time, too, unless the read lasted so long that it must have waited for a record.

DirectoryFollowerTest.ASlowReply.makesItsRecordsAndThoseOfTheNextReplyOlder failed with the logic switched off (no record counted as missed) and passes; leavesRecordsNewThatTheNextReadHasWaitedFor guards the other side.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -22,6 +22,9 @@
     /** Delay after an unexpected failure; the store charges for the full read that follows. */
     private static final Duration FAILURE_DELAY = Duration.ofMillis(900);
 
+    /** Least time for which records may have been on their way that counts to their age. */
+    private static final Duration SLOW_TRANSFER = Duration.ofMillis(50);
+
     private final Directory directory;
     private final FleetStore store;
     private final EventLoop loop;
@@ -33,6 +36,7 @@
     private int failedReads;
     private OptionalLong missedSinceNanos = OptionalLong.empty();
     private OptionalLong lastConfirmedNanos = OptionalLong.empty();
+    private Duration previousTransferTime = Duration.ZERO;
     private boolean restored;
     private boolean started;
     private int generation;
@@ -167,6 +171,10 @@
         long elapsedNanos = time.nanoTime() - startNanos;
         long waitNanos = wait.orElse(Duration.ZERO).toNanos();
         long confirmedNanos = startNanos + (unchanged ? Math.min(waitNanos, elapsedNanos) : 0);
+        if (missedSinceNanos.isEmpty() && wait.isPresent()) {
+            missedSinceNanos = slowSince(reply.transferTime(), Duration.ofNanos(elapsedNanos));
+        }
+        previousTransferTime = wait.isEmpty() ? Duration.ofNanos(elapsedNanos) : reply.transferTime();
         try {
             notifyListener(reply, wait.isEmpty(), recovered, confirmedNanos);
         } catch (RuntimeException | StackOverflowError e) {
@@ -183,6 +191,21 @@
         }
     }
 
+    /**
+     * Returns the time since when the records of a reply may have been on their way, if that is long. What was written
+     * while the reply before was received comes with this one, unless this read has waited for a record.
+     *
+     * @param transferTime time for which the reply was received
+     * @param elapsed time since the read was sent
+     */
+    private OptionalLong slowSince(Duration transferTime, Duration elapsed) {
+        boolean waited = elapsed.compareTo(previousTransferTime.multipliedBy(2)) > 0;
+        Duration underWay = waited ? transferTime : previousTransferTime.plus(elapsed);
+        return underWay.compareTo(SLOW_TRANSFER) < 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(time.nanoTime() - underWay.toNanos());
+    }
+
     private void notifyListener(DirectoryReply reply, boolean fullRead, boolean recovered, long confirmedNanos) {
         if (recovered) {
             listener.storeRecovered(directory);
@@ -263,11 +286,11 @@
         default void storeRestored(Directory directory) {}
 
         /**
-         * Called before records are passed that a previous read may have missed, because it failed or the history was
-         * deleted.
+         * Called before records are passed that may have been written some time ago, because a previous read failed,
+         * the history was deleted, or they were on their way for long.
          *
          * @param directory directory that is read
-         * @param nanos monotonic time at which that read was sent; the records may have been written since then
+         * @param nanos monotonic time since when the records may have been written
          */
         default void recordsMissedSince(Directory directory, long nanos) {}
     }
--- a/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/http/BufferedCall.java
@@ -23,6 +23,7 @@
     private final Limits limits;
     private final Consumer<Result> onResult;
     private final long startNanos;
+    private long firstPartNanos;
     private long lastPartNanos;
     private boolean receiving;
     private Future<?> timer;
@@ -67,6 +68,7 @@
     public void onHead(HttpResponse head) {
         lastPartNanos = time.nanoTime();
         receiving = true;
+        firstPartNanos = lastPartNanos;
         status = head.status().code();
         headers = head.headers();
     }
@@ -84,7 +86,7 @@
 
     @Override
     public void onEnd() {
-        end(new Result(status, headers, body, ""));
+        end(new Result(status, headers, body, time.since(firstPartNanos), ""));
     }
 
     @Override
@@ -141,11 +143,12 @@
      * @param status HTTP status; 0 if there was no complete response
      * @param headers headers of the response; empty if there was no complete response
      * @param body body of the response
+     * @param transferTime time from the first part of the response to its end; zero if it was not complete
      * @param failure why there was no complete response; empty otherwise
      */
-    public record Result(int status, HttpHeaders headers, ByteBuf body, String failure) {
+    public record Result(int status, HttpHeaders headers, ByteBuf body, Duration transferTime, String failure) {
         private static Result failed(CallFailure failure) {
-            return new Result(0, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER, failure.name());
+            return new Result(0, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER, Duration.ZERO, failure.name());
         }
 
         /** Returns whether the response is complete and has status 200. */
--- a/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/fleet/DirectoryFollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -323,6 +324,57 @@
         }
     }
 
+    /** Pattern: a version is named while a large configuration crosses a full link. */
+    @Nested
+    class ASlowReply {
+        private final HeldStore held = new HeldStore();
+        private final List<Duration> missed = new ArrayList<>();
+        private final DirectoryFollower follower = DirectoryFollower.of(
+                Directory.OPERATOR,
+                held,
+                loop,
+                time,
+                new DirectoryFollower.Timing(MAX_WAIT, Duration.ZERO),
+                new IgnoringListener() {
+                    @Override
+                    public void recordsMissedSince(Directory directory, long nanos) {
+                        missed.add(time.since(nanos));
+                    }
+                },
+                log);
+
+        private void reply(int call, Duration transferTime) {
+            FleetChange change = new FleetChange.WeightsNamed("m", call);
+            held.replies
+                    .get(call)
+                    .accept(DirectoryReply.read(List.of(change), 7).receivedWithin(transferTime));
+        }
+
+        /** Guards against a version that counts as named when the reply was complete, or when the next one came. */
+        @Test
+        void makesItsRecordsAndThoseOfTheNextReplyOlder() {
+            follower.start();
+            reply(0, Duration.ZERO);
+            reply(1, Duration.ofSeconds(2));
+            reply(2, Duration.ZERO);
+            reply(3, Duration.ZERO);
+
+            assertThat(missed).hasSize(2).allSatisfy(age -> assertThat(age).isGreaterThan(Duration.ofSeconds(2)));
+        }
+
+        /** Guards against an older version that is given up too soon, because the new one counts as older. */
+        @Test
+        void leavesRecordsNewThatTheNextReadHasWaitedFor() {
+            follower.start();
+            reply(0, Duration.ZERO);
+            reply(1, Duration.ofMillis(60));
+            LockSupport.parkNanos(Duration.ofMillis(200).toNanos());
+            reply(2, Duration.ZERO);
+
+            assertThat(missed).hasSize(1);
+        }
+    }
+
     /** Store whose replies the test sends, in any order. */
     private static final class HeldStore extends ChangingStore {
         private final StoreEra era = StoreEra.unknown();
--- a/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/masticcroft/gateway/http/PooledHttpClientTest.java
@@ -500,6 +500,11 @@
         }
 
         private String receive(Duration timeout, Duration longest, Duration betweenParts) throws Exception {
+            BufferedCall.Result received = result(timeout, longest, betweenParts);
+            return received.ok() ? received.body().toString(StandardCharsets.US_ASCII) : received.reason();
+        }
+
+        private BufferedCall.Result result(Duration timeout, Duration longest, Duration betweenParts) throws Exception {
             try (MisbehavingServer server = MisbehavingServer.start((request, out) -> {
                 out.write(MisbehavingServer.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + PARTS + "\r\n\r\n"));
                 for (int i = 0; i < PARTS; i++) {
@@ -516,11 +521,18 @@
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
                         new BufferedCall.Limits(Duration.ZERO, timeout, Duration.ofMillis(500), longest),
                         result::complete));
-                BufferedCall.Result received = result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-                return received.ok() ? received.body().toString(StandardCharsets.US_ASCII) : received.reason();
+                return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
             }
         }
 
+        /** Guards against news that count as new although they were on their way for seconds. */
+        @Test
+        void statesForHowLongItWasReceived() throws Exception {
+            assertThat(result(Duration.ofMillis(500), Duration.ofSeconds(10), Duration.ofMillis(200))
+                            .transferTime())
+                    .isBetween(Duration.ofMillis(800), Duration.ofSeconds(2));
+        }
+
         /** Guards against a large response that is given up, and transferred again, while its parts keep coming. */
         @Test
         void isReceivedWhileItsPartsKeepComing() throws Exception {
