Let the longer way count if a slow reply follows another one

The time for which a reply was received did not count if the read before was no quicker. Now the longer of the two counts.

Measured: DirectoryFollowerTest and FleetStateTest, 48 tests, pass.

--- a/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/fleet/DirectoryFollower.java
@@ -200,7 +200,8 @@
      */
     private OptionalLong slowSince(Duration transferTime, Duration elapsed) {
         boolean waited = elapsed.compareTo(previousTransferTime.multipliedBy(2)) > 0;
-        Duration underWay = waited ? transferTime : previousTransferTime.plus(elapsed);
+        Duration sincePrevious = waited ? Duration.ZERO : previousTransferTime.plus(elapsed);
+        Duration underWay = transferTime.compareTo(sincePrevious) > 0 ? transferTime : sincePrevious;
         return underWay.compareTo(SLOW_TRANSFER) < 0
                 ? OptionalLong.empty()
                 : OptionalLong.of(time.nanoTime() - underWay.toNanos());
