--- a/gateway/src/main/java/org/masticcroft/gateway/dispatch/PathDelays.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/dispatch/PathDelays.java
@@ -25,7 +25,7 @@
      * Records that a connection was established.
      *
      * @param dataCentre data centre of the upstream
-     * @param handshake time from the first packet until the connection was established
+     * @param handshake time from the choice of the upstream until the connection was established
      * @param nowNanos monotonic time in nanoseconds
      */
     public void record(String dataCentre, Duration handshake, long nowNanos) {
--- a/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
+++ b/gateway/src/main/java/org/masticcroft/gateway/exchange/ExchangeContext.java
@@ -94,7 +94,7 @@
     /** Returns the regions in which the configuration in force allows a request to be served. */
     AllowedRegions allowedRegions(CallerRequest request);
 
-    /** Is called when a new connection to an upstream is established, with the time that its handshake took. */
+    /** Is called when a new connection to an upstream is established, with the time since the upstream was chosen. */
     void onConnected(Upstream upstream, Duration handshake);
 
     /** Returns why a request must not be sent any more to the upstream that was chosen for it; empty if it may be. */
